The whole path, thin: callers, instances, gateways, targets, platform

Three entry instances, one database group of three stand-in members and a stand-in platform run as separate processes on ports of the kernel's choice.

Found on the way: GCC 12 destroys twice what stands in a conditional expression around co_await, a closure written inside a co_await expression, and an aggregate written in co_return. The first crashed the instance at its first write; named locals and factory functions take their place.

--- /dev/null
+++ b/src/include/catkinlock/notifier.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "catkinlock/clock.h"
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <memory>
+
+namespace catkinlock {
+
+/// Lets coroutines on one executor wait until something changes.
+class Notifier {
+public:
+    explicit Notifier(boost::asio::any_io_executor);
+
+    /// Returns at the next `notifyAll`, or at `deadline`.
+    boost::asio::awaitable<void> wait(TimePoint deadline);
+    void notifyAll();
+    bool hasWaiters() const { return !this->waiters.empty(); }
+
+private:
+    boost::asio::any_io_executor executor;
+    std::list<boost::asio::steady_timer*> waiters;
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/include/catkinlock/result_json.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "catkinlock/error.h"
+#include "catkinlock/statement.h"
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace catkinlock {
+
+/// Result sets as JSON: a list of {"columns": [...], "rows": [[...]], "affected": n}.
+std::string writeResults(const std::vector<ResultSet>&);
+
+/// Reads what `writeResults` wrote.
+tl::expected<std::vector<ResultSet>, Error> readResults(const std::string& json);
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libcore/digest.cpp
@@ -0,0 +1,83 @@
+#include "catkinlock/digest.h"
+
+#include <cstdlib>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+namespace catkinlock {
+
+namespace {
+
+std::string toHex(const unsigned char* data, std::size_t size)
+{
+    static const char digits[] = "0123456789abcdef";
+    std::string text;
+    text.reserve(size * 2);
+    for (std::size_t i = 0; i < size; ++i) {
+        text += digits[data[i] >> 4];
+        text += digits[data[i] & 15];
+    }
+    return text;
+}
+
+const unsigned char* bytes(std::string_view text)
+{
+    return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+} // namespace
+
+std::string sha256Hex(std::string_view data)
+{
+    unsigned char digest[SHA256_DIGEST_LENGTH];
+    SHA256(bytes(data), data.size(), digest);
+    return toHex(digest, sizeof digest);
+}
+
+std::string hmacSha256(std::string_view data, std::string_view secret)
+{
+    unsigned char digest[EVP_MAX_MD_SIZE];
+    unsigned size = 0;
+    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), bytes(data), data.size(), digest, &size);
+    return std::string(reinterpret_cast<char*>(digest), size);
+}
+
+bool equalConstantTime(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && !CRYPTO_memcmp(left.data(), right.data(), left.size());
+}
+
+std::string encodeBase64(std::string_view data)
+{
+    std::string text(4 * ((data.size() + 2) / 3), '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), bytes(data), static_cast<int>(data.size()));
+    return text;
+}
+
+std::string decodeBase64(std::string_view text)
+{
+    if (text.empty() || text.size() % 4)
+        return {};
+    std::string data(text.size() / 4 * 3, '\0');
+    int size = EVP_DecodeBlock(
+        reinterpret_cast<unsigned char*>(data.data()), bytes(text), static_cast<int>(text.size()));
+    if (size < 0)
+        return {};
+    std::size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
+    data.resize(static_cast<std::size_t>(size) - padding);
+    return data;
+}
+
+std::string randomHex(unsigned count)
+{
+    std::string buffer(count, '\0');
+    // Without random bytes no key is safe to hand out, so this is a broken invariant.
+    if (RAND_bytes(reinterpret_cast<unsigned char*>(buffer.data()), static_cast<int>(count)) != 1)
+        std::abort();
+    return toHex(bytes(buffer), buffer.size());
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libserver/gossip.cpp
@@ -0,0 +1,216 @@
+#include "libserver/gossip.h"
+
+#include "catkinlock/wire_convert.h"
+#include "peer.pb.h"
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds pingInterval { 500 };
+constexpr Milliseconds pingTimeout { 1000 };
+constexpr std::size_t newsPerMessage = 6;
+constexpr std::size_t pushFanout = 4;
+// Differing digests in a row, with no news to send, that make an instance ask for a peer's whole picture.
+constexpr unsigned mismatchesUntilRequest = 4;
+constexpr Milliseconds fullRequestInterval { 10000 };
+constexpr std::chrono::hours deadLifetime { 1 };
+
+} // namespace
+
+Gossip::Gossip(asio::io_context& context, std::shared_ptr<PeerLink> link, std::shared_ptr<Membership> membership,
+    std::shared_ptr<ConfigFollower> config, std::shared_ptr<ConfigFreshness> freshness, Hooks hooks)
+    : context(context)
+    , link(std::move(link))
+    , membership(std::move(membership))
+    , config(std::move(config))
+    , freshness(std::move(freshness))
+    , hooks(std::move(hooks))
+    , random(std::random_device {}())
+    , nextId(static_cast<std::uint64_t>(this->random()) << 32)
+    , fullRequestAt(Clock::now())
+{
+}
+
+void Gossip::start()
+{
+    auto self = this->shared_from_this();
+    asio::co_spawn(this->context, [self] { return self->run(); }, asio::detached);
+}
+
+asio::awaitable<void> Gossip::run()
+{
+    auto self = this->shared_from_this();
+    asio::steady_timer timer(this->context);
+    while (!this->stopped) {
+        double spread = std::uniform_real_distribution<double>(0.9, 1.1)(this->random);
+        timer.expires_after(std::chrono::duration_cast<Milliseconds>(pingInterval * spread));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        TimePoint now = Clock::now();
+        this->endSilentPings(now);
+        this->pingOne(now);
+        this->membership->forgetDead(now, deadLifetime);
+        this->freshness->noteFleet(this->membership->seesMajority());
+    }
+}
+
+void Gossip::endSilentPings(TimePoint now)
+{
+    bool changed = false;
+    for (auto it = this->waiting.begin(); it != this->waiting.end();) {
+        if (now - it->second.sentAt < pingTimeout) {
+            ++it;
+            continue;
+        }
+        this->membership->noteSilence(it->second.name, now);
+        const InstanceRecord* record = this->membership->find(it->second.name);
+        bool dead = !record || record->state == InstanceState::Dead;
+        if (!dead)
+            this->retry.push_back(it->second.name);
+        changed = changed || dead;
+        it = this->waiting.erase(it);
+    }
+    if (changed)
+        this->hooks.membershipChanged();
+}
+
+void Gossip::pingOne(TimePoint now)
+{
+    // A silent peer is asked again before the others' turn.
+    auto& source = this->retry.empty() ? this->round : this->retry;
+    if (source.empty()) {
+        for (const InstanceRecord& peer : this->membership->peers())
+            this->round.push_back(peer.name);
+        std::shuffle(this->round.begin(), this->round.end(), this->random);
+    }
+    if (source.empty())
+        return;
+    std::string name = source.back();
+    source.pop_back();
+    const InstanceRecord* record = this->membership->find(name);
+    if (record && record->state != InstanceState::Dead)
+        this->ping(*record, now);
+}
+
+void Gossip::ping(const InstanceRecord& peer, TimePoint now)
+{
+    wire::Envelope envelope;
+    wire::Ping& message = *envelope.mutable_ping();
+    message.set_id(++this->nextId);
+    message.set_revision(this->config->revision());
+    message.set_membership_digest(this->membership->digest());
+    for (const InstanceRecord& record : this->membership->takeUpdates(newsPerMessage))
+        writeRecord(record, *message.add_records());
+    this->waiting[this->nextId] = { peer.name, now };
+    this->link->send(peer.address, envelope);
+}
+
+void Gossip::pushNews()
+{
+    TimePoint now = Clock::now();
+    auto peers = this->membership->peers();
+    std::shuffle(peers.begin(), peers.end(), this->random);
+    peers.resize(std::min(peers.size(), pushFanout));
+    for (const InstanceRecord& peer : peers)
+        this->ping(peer, now);
+}
+
+void Gossip::receivePing(const std::string& sender, const wire::Ping& ping)
+{
+    TimePoint now = Clock::now();
+    std::vector<InstanceRecord> records;
+    for (const wire::InstanceRecord& record : ping.records())
+        records.push_back(readRecord(record));
+    this->applyRecords(records, now);
+    wire::Envelope envelope;
+    wire::Ack& ack = *envelope.mutable_ack();
+    ack.set_id(ping.id());
+    ack.set_revision(this->config->revision());
+    ack.set_membership_digest(this->membership->digest());
+    TimePoint confirmed = this->freshness->confirmed();
+    if (confirmed != TimePoint()) {
+        auto age = std::chrono::ceil<Milliseconds>(now - confirmed).count();
+        ack.set_confirmed_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(age, 0)));
+    }
+    for (const InstanceRecord& record : this->membership->takeUpdates(newsPerMessage))
+        writeRecord(record, *ack.add_records());
+    this->link->send(sender, envelope);
+    if (this->config->notePeer(ping.revision(), std::nullopt))
+        this->requestTables(sender);
+    this->compareDigests(sender, ping.membership_digest(), now);
+}
+
+void Gossip::receiveAck(const std::string& sender, const wire::Ack& ack)
+{
+    auto asked = this->waiting.find(ack.id());
+    if (asked == this->waiting.end())
+        return;
+    TimePoint now = Clock::now();
+    this->membership->noteAnswer(asked->second.name, now);
+    this->freshness->notePeerHeard(now);
+    std::vector<InstanceRecord> records;
+    for (const wire::InstanceRecord& record : ack.records())
+        records.push_back(readRecord(record));
+    // The peer counted the age when it answered, which was after this instance asked.
+    std::optional<TimePoint> confirmed;
+    if (ack.has_confirmed_age_ms())
+        confirmed = asked->second.sentAt - Milliseconds(ack.confirmed_age_ms());
+    this->waiting.erase(asked);
+    this->applyRecords(records, now);
+    if (this->config->notePeer(ack.revision(), confirmed))
+        this->requestTables(sender);
+    this->compareDigests(sender, ack.membership_digest(), now);
+}
+
+void Gossip::applyRecords(const std::vector<InstanceRecord>& records, TimePoint now)
+{
+    bool changed = false;
+    for (const InstanceRecord& record : records)
+        changed = this->membership->apply(record, now) || changed;
+    if (changed)
+        this->hooks.membershipChanged();
+}
+
+void Gossip::compareDigests(const std::string& sender, std::uint64_t digest, TimePoint now)
+{
+    if (digest == this->membership->digest()) {
+        this->mismatches = 0;
+        return;
+    }
+    if (++this->mismatches < mismatchesUntilRequest || now < this->fullRequestAt)
+        return;
+    this->mismatches = 0;
+    this->fullRequestAt = now + fullRequestInterval;
+    wire::Envelope envelope;
+    envelope.mutable_membership_request();
+    this->link->send(sender, envelope);
+}
+
+void Gossip::answerMembershipRequest(const std::string& sender)
+{
+    wire::Envelope envelope;
+    for (const InstanceRecord& record : this->membership->all())
+        writeRecord(record, *envelope.mutable_membership_update()->add_records());
+    this->link->send(sender, envelope);
+}
+
+void Gossip::receiveMembershipUpdate(const wire::MembershipUpdate& update)
+{
+    std::vector<InstanceRecord> records;
+    for (const wire::InstanceRecord& record : update.records())
+        records.push_back(readRecord(record));
+    this->applyRecords(records, Clock::now());
+}
+
+void Gossip::requestTables(const std::string& address)
+{
+    wire::Envelope envelope;
+    envelope.mutable_table_request()->set_since_revision(this->config->revision());
+    this->link->send(address, envelope);
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libserver/http_server.cpp
@@ -0,0 +1,82 @@
+#include "libserver/http_server.h"
+
+#include "catkinlock/address.h"
+#include <boost/asio.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Pause after the system refused a connection, as when it is out of descriptors.
+constexpr Milliseconds acceptPause { 20 };
+
+} // namespace
+
+struct HttpServer::Acceptor {
+    explicit Acceptor(asio::io_context& context)
+        : socket(asio::make_strand(context))
+    {
+    }
+    asio::ip::tcp::acceptor socket;
+};
+
+HttpServer::HttpServer(asio::io_context& context, std::shared_ptr<HttpContext> shared)
+    : context(context)
+    , shared(std::move(shared))
+    , acceptor(std::make_unique<Acceptor>(context))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+std::string HttpServer::listen(const std::string& address)
+{
+    auto endpoint = parseAddress(address);
+    boost::system::error_code error;
+    auto& socket = this->acceptor->socket;
+    socket.open(endpoint.protocol(), error);
+    if (!error)
+        socket.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        socket.bind(endpoint, error);
+    if (!error)
+        socket.listen(asio::socket_base::max_listen_connections, error);
+    return error ? "" : formatAddress(socket.local_endpoint());
+}
+
+void HttpServer::start()
+{
+    asio::co_spawn(this->acceptor->socket.get_executor(), [self = this->shared_from_this()] { return self->accept(); },
+        asio::detached);
+}
+
+void HttpServer::stopAccepting()
+{
+    asio::post(this->acceptor->socket.get_executor(), [self = this->shared_from_this()] {
+        boost::system::error_code ignored;
+        self->acceptor->socket.close(ignored);
+    });
+}
+
+asio::awaitable<void> HttpServer::accept()
+{
+    auto self = this->shared_from_this();
+    while (this->acceptor->socket.is_open()) {
+        // Each session has a strand of its own, so that its timer and its stream don't race.
+        auto strand = asio::make_strand(this->context);
+        auto [error, socket] = co_await this->acceptor->socket.async_accept(strand, asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            asio::steady_timer pause(this->acceptor->socket.get_executor(), acceptPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        auto session = std::make_shared<HttpSession>(std::move(socket), this->shared);
+        asio::co_spawn(strand, [session] { return session->run(); }, asio::detached);
+    }
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libserver/request_pipeline.cpp
@@ -0,0 +1,150 @@
+#include "libserver/request_pipeline.h"
+
+#include "catkinlock/digest.h"
+#include "catkinlock/session_token.h"
+#include "libserver/admission.h"
+#include "libserver/config_freshness.h"
+#include "libserver/forwarder.h"
+#include <algorithm>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* openWorkspace = "open";
+constexpr std::uint32_t mostTimeoutMs = 600000;
+
+tl::unexpected<Refusal> refuse(std::string code, std::string message)
+{
+    return tl::unexpected(notRun(std::move(code), std::move(message)));
+}
+
+CallerOutcome outcomeOf(CallerResult result, std::string workspace)
+{
+    return { std::move(result), std::move(workspace) };
+}
+
+} // namespace
+
+struct RequestPipeline::Routed {
+    std::shared_ptr<const Tables> tables;
+    const Route* route = nullptr;
+    DatabaseRequest request;
+};
+
+RequestPipeline::RequestPipeline(Parts parts)
+    : parts(std::move(parts))
+{
+}
+
+tl::expected<RequestPipeline::Routed, Refusal> RequestPipeline::authenticate(
+    const CallerRequest& caller, std::shared_ptr<const Tables> tables) const
+{
+    auto route = tables->routes.find(caller.route);
+    if (route == tables->routes.end())
+        return refuse("unknown_route", "there is no route of this name");
+    Routed routed { tables, &route->second, {} };
+    if (route->second.open) {
+        routed.request.workspace = openWorkspace;
+        return routed;
+    }
+    if (caller.key.empty())
+        return refuse("key_missing", "the route needs the key of a workspace");
+    if (!this->parts.freshness->mayTrustKeys())
+        return refuse("isolated", "this instance can't tell whether the key was withdrawn; try another");
+    auto key = tables->keys.find(sha256Hex(caller.key));
+    if (key == tables->keys.end() || key->second.withdrawn)
+        return refuse("key_refused", "the key is not known or was withdrawn");
+    const auto& allowed = route->second.workspaces;
+    bool mayUse = allowed.empty() || std::find(allowed.begin(), allowed.end(), key->second.workspace) != allowed.end();
+    if (!mayUse)
+        return refuse("route_refused", "the route is not open to the key's workspace");
+    routed.request.workspace = key->second.workspace;
+    return routed;
+}
+
+tl::expected<RequestPipeline::Routed, Refusal> RequestPipeline::route(
+    const CallerRequest& caller, Routed routed) const
+{
+    auto pool = routed.tables->pools.find(routed.route->pool);
+    if (pool == routed.tables->pools.end())
+        return refuse("unknown_pool", "the route's pool does not exist");
+    DatabaseRequest& request = routed.request;
+    const Database* database = databaseForShard(pool->second, caller.shard.empty() ? request.workspace : caller.shard);
+    request.pool = pool->first;
+    request.database = database->name;
+    request.route = routed.route->name;
+    request.kind = caller.settle ? DatabaseRequest::Kind::Settle : DatabaseRequest::Kind::Transaction;
+    request.readOnly = routed.route->readOnly;
+    request.maxAgeMs = routed.route->maxAgeMs;
+    request.repeatable = routed.route->repeatable;
+    request.idempotencyKey = caller.idempotencyKey;
+    request.statements = caller.statements;
+    if (caller.settle && caller.idempotencyKey.empty())
+        return refuse("bad_request", "settling needs the Idempotency-Key of the request");
+    if (caller.timeoutMs && (!*caller.timeoutMs || *caller.timeoutMs > mostTimeoutMs))
+        return refuse("deadline", "the deadline is past or further away than 600000 ms");
+    Milliseconds timeout = caller.timeoutMs ? Milliseconds(*caller.timeoutMs) : this->parts.defaultTimeout;
+    request.deadline = Clock::now() + timeout;
+    return routed;
+}
+
+tl::expected<RequestPipeline::Routed, Refusal> RequestPipeline::openSession(
+    const CallerRequest& caller, Routed routed) const
+{
+    if (caller.sessionToken.empty())
+        return routed;
+    auto token = openToken(caller.sessionToken, this->parts.tokenSecret);
+    if (!token)
+        return refuse("bad_session", token.error().message);
+    DatabaseRequest& request = routed.request;
+    if (token->workspace != request.workspace)
+        return refuse("foreign_session", "the session token belongs to another workspace");
+    if (token->database != request.pool + "/" + request.database)
+        return refuse("foreign_session", "the session token belongs to another database");
+    request.session = token->position;
+    return routed;
+}
+
+asio::awaitable<CallerOutcome> RequestPipeline::run(CallerRequest caller)
+{
+    auto self = this->shared_from_this();
+    // The whole request runs under the tables that it started with.
+    auto authenticated = this->authenticate(caller, this->parts.tables->read());
+    if (!authenticated)
+        co_return outcomeOf(tl::unexpected(authenticated.error()), "");
+    std::string workspace = authenticated->request.workspace;
+    auto routed = this->route(caller, std::move(*authenticated)).and_then([&](Routed next) {
+        return this->openSession(caller, std::move(next));
+    });
+    if (!routed)
+        co_return outcomeOf(tl::unexpected(routed.error()), workspace);
+    auto result = co_await this->admitAndExecute(std::move(*routed));
+    co_return outcomeOf(std::move(result), workspace);
+}
+
+asio::awaitable<CallerResult> RequestPipeline::admitAndExecute(Routed routed)
+{
+    DatabaseRequest& request = routed.request;
+    auto workspace = routed.tables->workspaces.find(request.workspace);
+    if (workspace != routed.tables->workspaces.end()) {
+        request.weight = workspace->second.weight;
+        auto admitted = co_await this->parts.admission->admit(request.workspace, request.deadline);
+        if (!admitted)
+            co_return tl::unexpected(admitted.error());
+    } else if (!routed.route->open)
+        co_return refuse("unknown_workspace", "the key's workspace does not exist");
+    SessionToken token { request.workspace, request.pool + "/" + request.database, {} };
+    auto result = co_await this->parts.forwarder->execute(std::move(request));
+    if (!result)
+        co_return tl::unexpected(result.error());
+    token.position = result->session;
+    CallerReply reply;
+    reply.sessionToken = token.position.term ? sealToken(token, this->parts.tokenSecret) : "";
+    reply.reply = std::move(*result);
+    co_return reply;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libserver/slot_keeper.cpp
@@ -0,0 +1,208 @@
+#include "libserver/slot_keeper.h"
+
+#include "catkinlock/log.h"
+#include "catkinlock/rendezvous.h"
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Milliseconds keepInterval { 250 };
+// The holder stops this part of the lease early, for clocks that run at different speeds.
+constexpr int leaseMarginDivisor = 20;
+// The lease is renewed after this part of it.
+constexpr int renewDivisor = 3;
+// A slot's loans are over this long after its last use, and only then is it given back.
+constexpr Milliseconds releaseDelay { 2500 };
+constexpr Milliseconds firstClaimPause { 500 };
+constexpr Milliseconds longestClaimPause { 30000 };
+
+} // namespace
+
+SlotKeeper::SlotKeeper(
+    asio::io_context& context, std::shared_ptr<PlatformClient> platform, Options options, Hooks hooks)
+    : context(context)
+    , platform(std::move(platform))
+    , options(std::move(options))
+    , hooks(std::move(hooks))
+    , validUntil(Clock::now())
+    , renewAt(Clock::now())
+{
+}
+
+void SlotKeeper::start()
+{
+    auto self = this->shared_from_this();
+    asio::co_spawn(this->context, [self] { return self->keep(); }, asio::detached);
+}
+
+std::string SlotKeeper::keyOf(std::uint32_t slot) const
+{
+    return fmt::format("{}{:05}", slotPrefix, slot);
+}
+
+std::size_t SlotKeeper::fairShare() const
+{
+    std::size_t fleet = std::max<std::size_t>(this->hooks.fleetSize(), 1);
+    return (this->options.slotCount + fleet - 1) / fleet;
+}
+
+void SlotKeeper::announce()
+{
+    this->hooks.changed(this->slots, this->validUntil);
+}
+
+void SlotKeeper::dropIfOver()
+{
+    if (!this->lease || Clock::now() < this->validUntil)
+        return;
+    writeLog(LogLevel::Warning, "slot_lease_over", { { "slots", fmt::format("{}", this->slots.size()) } });
+    this->slots.clear();
+    this->lease = 0;
+    this->announce();
+}
+
+asio::awaitable<void> SlotKeeper::keep()
+{
+    auto self = this->shared_from_this();
+    asio::steady_timer timer(this->context);
+    Milliseconds claimPause = firstClaimPause;
+    TimePoint claimAt = Clock::now();
+    while (!this->leaving) {
+        this->dropIfOver();
+        if (Clock::now() >= this->renewAt && !co_await this->renew())
+            this->renewAt = Clock::now() + claimPause;
+        bool missing = this->lease && this->slots.size() < this->fairShare();
+        if (missing && Clock::now() >= claimAt) {
+            std::size_t before = this->slots.size();
+            co_await this->claimMissing();
+            bool gained = this->slots.size() > before;
+            claimPause = gained ? firstClaimPause : std::min(claimPause * 2, longestClaimPause);
+            claimAt = Clock::now() + claimPause;
+        }
+        if (this->slots.size() > this->fairShare())
+            co_await this->releaseSurplus();
+        timer.expires_after(keepInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<bool> SlotKeeper::renew()
+{
+    TimePoint askedAt = Clock::now();
+    auto duration = std::chrono::seconds(this->options.leaseSeconds);
+    bool kept = false;
+    if (this->lease) {
+        auto renewed = co_await this->platform->keepLeaseAlive(this->lease);
+        if (!renewed)
+            co_return false;
+        kept = *renewed;
+        if (!kept) {
+            // The platform says that the lease is over, so others may have the slots already.
+            this->validUntil = askedAt;
+            this->dropIfOver();
+        }
+    }
+    if (!kept) {
+        askedAt = Clock::now();
+        auto granted = co_await this->platform->grantLease(this->options.leaseSeconds);
+        if (!granted)
+            co_return false;
+        this->lease = *granted;
+    }
+    this->validUntil = askedAt + duration - duration / leaseMarginDivisor;
+    this->renewAt = askedAt + duration / renewDivisor;
+    this->announce();
+    co_return true;
+}
+
+asio::awaitable<void> SlotKeeper::claimMissing()
+{
+    if (!this->slotsRead) {
+        auto range = co_await this->platform->readPrefix(slotPrefix);
+        if (!range)
+            co_return;
+        this->takenByOthers.clear();
+        for (const KeyValue& value : range->values)
+            this->takenByOthers.insert(
+                static_cast<std::uint32_t>(std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10)));
+        this->slotsRead = true;
+    }
+    // Each instance starts elsewhere, so that they seldom want the same slot.
+    std::uint32_t first = static_cast<std::uint32_t>(stableHash(this->options.instance) % this->options.slotCount);
+    std::size_t wanted = this->fairShare();
+    for (std::uint32_t i = 0; i < this->options.slotCount && this->slots.size() < wanted && !this->leaving; ++i) {
+        std::uint32_t slot = (first + i) % this->options.slotCount;
+        if (this->slots.count(slot) || this->takenByOthers.count(slot) || this->hooks.isTaken(slot))
+            continue;
+        if (!co_await this->claim(slot))
+            this->takenByOthers.insert(slot);
+        if (!this->lease)
+            co_return;
+    }
+    // What others held may have come free by the next round.
+    this->slotsRead = this->slots.size() >= wanted;
+    this->announce();
+}
+
+asio::awaitable<bool> SlotKeeper::claim(std::uint32_t slot)
+{
+    std::int64_t claimLease = this->lease;
+    std::string value = boost::json::serialize(boost::json::object {
+        { "instance", this->options.instance }, { "peer", this->options.peerAddress }, { "lease", claimLease } });
+    auto swapped = co_await this->platform->compareAndSwap(this->keyOf(slot), 0, value, claimLease);
+    bool mine = swapped && swapped->swapped;
+    if (!swapped && swapped.error().mayHaveRun) {
+        // The answer is lost; the key tells who has the slot.
+        auto found = co_await this->platform->read(this->keyOf(slot));
+        mine = found && *found && (*found)->value == value;
+    }
+    // The lease may have ended while the answer was on its way.
+    if (mine && this->lease == claimLease && !this->leaving)
+        this->slots.insert(slot);
+    co_return mine;
+}
+
+asio::awaitable<void> SlotKeeper::releaseSurplus()
+{
+    std::set<std::uint32_t> surplus;
+    auto it = this->slots.rbegin();
+    for (std::size_t extra = this->slots.size() - this->fairShare(); extra; --extra)
+        surplus.insert(*it++);
+    co_await this->release(std::move(surplus));
+}
+
+asio::awaitable<void> SlotKeeper::release(std::set<std::uint32_t> surplus)
+{
+    for (std::uint32_t slot : surplus)
+        this->slots.erase(slot);
+    std::int64_t releaseLease = this->lease;
+    this->announce();
+    asio::steady_timer timer(this->context, releaseDelay);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    for (std::uint32_t slot : surplus) {
+        auto found = co_await this->platform->read(this->keyOf(slot));
+        bool mine = found && *found && this->lease == releaseLease;
+        if (mine)
+            co_await this->platform->compareAndSwap(this->keyOf(slot), (*found)->revision, std::nullopt);
+    }
+}
+
+asio::awaitable<void> SlotKeeper::releaseAll(TimePoint deadline)
+{
+    auto self = this->shared_from_this();
+    this->leaving = true;
+    this->slots.clear();
+    this->announce();
+    asio::steady_timer timer(this->context, std::min(deadline, Clock::now() + releaseDelay));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (this->lease)
+        co_await this->platform->revokeLease(this->lease);
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libserver/slot_keeper.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "catkinlock/platform_client.h"
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace catkinlock {
+
+/// Prefix of the slots in the platform's service.
+inline constexpr const char* slotPrefix = "/catkinlock/slot/";
+
+/// Claims this instance's share of the fleet's slots, each by compare-and-swap under one lease, renews the lease, and
+/// gives up slots when the fleet grows or the instance leaves. A slot is held until the lease's end by this process's own
+/// clock, counted from before the platform was asked, so that nobody else can have it meanwhile. On the control thread.
+class SlotKeeper : public std::enable_shared_from_this<SlotKeeper> {
+public:
+    struct Options {
+        std::uint32_t slotCount;
+        std::uint32_t leaseSeconds;
+        std::string instance;
+        std::string peerAddress;
+    };
+    struct Hooks {
+        /// The slots or the end of the lease have changed.
+        std::function<void(const std::set<std::uint32_t>&, TimePoint validUntil)> changed;
+        /// Instances that share the slots, this one included.
+        std::function<std::size_t()> fleetSize;
+        /// True if some other instance is known to hold the slot.
+        std::function<bool(std::uint32_t)> isTaken;
+    };
+
+    SlotKeeper(boost::asio::io_context&, std::shared_ptr<PlatformClient>, Options, Hooks);
+
+    void start();
+    /// Gives all slots back; returns when that is done or `deadline` has passed.
+    boost::asio::awaitable<void> releaseAll(TimePoint deadline);
+    const std::set<std::uint32_t>& held() const { return this->slots; }
+
+private:
+    boost::asio::awaitable<void> keep();
+    boost::asio::awaitable<bool> renew();
+    boost::asio::awaitable<void> claimMissing();
+    boost::asio::awaitable<bool> claim(std::uint32_t slot);
+    boost::asio::awaitable<void> releaseSurplus();
+    boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
+    std::size_t fairShare() const;
+    std::string keyOf(std::uint32_t slot) const;
+    void dropIfOver();
+    void announce();
+
+    boost::asio::io_context& context;
+    std::shared_ptr<PlatformClient> platform;
+    Options options;
+    Hooks hooks;
+    std::set<std::uint32_t> slots;
+    std::set<std::uint32_t> takenByOthers;
+    std::int64_t lease = 0;
+    TimePoint validUntil;
+    TimePoint renewAt;
+    bool leaving = false;
+    bool slotsRead = false;
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/standin/member.cpp
@@ -0,0 +1,248 @@
+#include "standin/member.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <fmt/format.h>
+#include <sstream>
+
+namespace catkinlock::standin {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr milliseconds heartbeatInterval { 50 };
+constexpr milliseconds reconnectDelay { 50 };
+constexpr milliseconds replicationTimeout { 500 };
+
+auto noThrow(boost::system::error_code& error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+tcp::endpoint endpointOf(const std::string& address)
+{
+    std::size_t colon = address.rfind(':');
+    return { asio::ip::make_address(address.substr(0, colon)),
+        static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
+}
+
+} // namespace
+
+GroupMember::GroupMember(asio::io_context& context, std::string address)
+    : context(context)
+    , address(std::move(address))
+    , heardAt(steady_clock::now())
+    , changed(context, steady_clock::time_point::max())
+{
+}
+
+std::uint64_t GroupMember::heardMs() const
+{
+    if (this->primary)
+        return 0;
+    auto silence = steady_clock::now() - this->heardAt;
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(silence).count());
+}
+
+void GroupMember::notify()
+{
+    this->changed.cancel();
+}
+
+asio::awaitable<void> GroupMember::waitForChange(milliseconds limit)
+{
+    boost::system::error_code error;
+    asio::steady_timer timer(this->context, limit);
+    using namespace asio::experimental::awaitable_operators;
+    co_await (this->changed.async_wait(noThrow(error)) || timer.async_wait(asio::as_tuple(asio::use_awaitable)));
+}
+
+asio::awaitable<void> GroupMember::waitFor(std::uint64_t term, std::uint64_t lsn, milliseconds limit)
+{
+    auto end = steady_clock::now() + limit;
+    while (this->log.promised() == term && this->position().lsn < lsn && steady_clock::now() < end)
+        co_await this->waitForChange(std::chrono::ceil<milliseconds>(end - steady_clock::now()));
+}
+
+bool GroupMember::fence(std::uint64_t term)
+{
+    if (term <= this->log.promised())
+        return false;
+    this->log.promise(term);
+    this->primary = false;
+    // A fenced member takes nothing from the primary of an older term.
+    ++this->generation;
+    this->notify();
+    return true;
+}
+
+bool GroupMember::promote(std::uint64_t term)
+{
+    if (term != this->log.promised())
+        return false;
+    if (this->primary && this->currentTerm == term)
+        return true;
+    ++this->generation;
+    this->primary = true;
+    this->currentTerm = term;
+    // An entry of the new term, so that a majority can confirm everything before it.
+    this->log.append({ { term, this->log.last().lsn + 1 }, {} });
+    this->log.applyTo(this->log.last().lsn);
+    this->notify();
+    return true;
+}
+
+bool GroupMember::follow(std::uint64_t term, const std::string& source)
+{
+    if (term < this->log.promised() || (this->primary && this->currentTerm == term))
+        return false;
+    this->log.promise(term);
+    this->primary = false;
+    this->heardAt = steady_clock::now();
+    ++this->generation;
+    asio::co_spawn(this->context, this->replicate(this->generation, term, source), asio::detached);
+    this->notify();
+    return true;
+}
+
+bool GroupMember::commit(std::vector<Change> changes)
+{
+    if (!this->primary || this->log.promised() != this->currentTerm)
+        return false;
+    this->log.append({ { this->currentTerm, this->log.last().lsn + 1 }, std::move(changes) });
+    this->log.applyTo(this->log.last().lsn);
+    this->notify();
+    return true;
+}
+
+std::string GroupMember::termsText() const
+{
+    std::string text;
+    for (const Entry& entry : this->log.entries())
+        text += fmt::format("{} ", entry.position.term);
+    return text + "\n";
+}
+
+asio::awaitable<void> GroupMember::replicate(std::uint64_t run, std::uint64_t term, std::string source)
+{
+    auto self = this->shared_from_this();
+    while (this->generation == run) {
+        try {
+            co_await this->replicateOnce(run, term, source);
+        } catch (const std::exception&) {
+            // The source can't be reached; the next try follows.
+        }
+        asio::steady_timer pause(this->context, reconnectDelay);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> GroupMember::replicateOnce(std::uint64_t run, std::uint64_t term, std::string source)
+{
+    tcp::socket socket(this->context);
+    asio::steady_timer deadline(this->context);
+    auto arm = [&] {
+        deadline.expires_after(replicationTimeout);
+        deadline.async_wait([&socket](boost::system::error_code error) {
+            if (!error)
+                socket.close(error);
+        });
+    };
+    arm();
+    co_await socket.async_connect(endpointOf(source), asio::use_awaitable);
+    std::string hello = fmt::format("R{} ", term) + this->termsText();
+    co_await asio::async_write(socket, asio::buffer(hello), asio::use_awaitable);
+    std::string buffer;
+    bool first = true;
+    while (this->generation == run) {
+        arm();
+        std::size_t size
+            = co_await asio::async_read_until(socket, asio::dynamic_buffer(buffer), '\n', asio::use_awaitable);
+        std::string line = buffer.substr(0, size - 1);
+        buffer.erase(0, size);
+        if (this->generation != run)
+            co_return;
+        if (!this->faults.cutReplication)
+            this->heardAt = steady_clock::now();
+        if (first) {
+            // The first line tells up to where both logs are the same.
+            this->log.truncate(std::stoull(line));
+            this->log.applyTo(this->log.last().lsn);
+            this->currentTerm = term;
+            this->notify();
+            first = false;
+            continue;
+        }
+        auto entry = decodeEntry(line);
+        if (!entry)
+            continue;
+        deadline.cancel();
+        if (this->faults.receiveMs) {
+            asio::steady_timer delay(this->context, milliseconds(this->faults.receiveMs));
+            co_await delay.async_wait(asio::use_awaitable);
+        }
+        while (this->faults.cutReplication && this->generation == run)
+            co_await this->waitForChange(heartbeatInterval);
+        if (this->generation != run)
+            co_return;
+        std::uint64_t lsn = entry->position.lsn;
+        this->log.append(std::move(*entry));
+        if (this->faults.lagMs)
+            asio::co_spawn(this->context, this->applyLater(run, lsn), asio::detached);
+        else
+            this->log.applyTo(lsn);
+        this->notify();
+    }
+}
+
+asio::awaitable<void> GroupMember::applyLater(std::uint64_t run, std::uint64_t lsn)
+{
+    auto self = this->shared_from_this();
+    asio::steady_timer lag(this->context, milliseconds(this->faults.lagMs));
+    co_await lag.async_wait(asio::use_awaitable);
+    // What a later follow has truncated must not be applied; what it kept is applied with its next entry.
+    if (this->generation != run)
+        co_return;
+    this->log.applyTo(lsn);
+    this->notify();
+}
+
+asio::awaitable<void> GroupMember::serveReplica(tcp::socket& socket, std::string request)
+{
+    std::istringstream words(request);
+    std::uint64_t term = 0;
+    words >> term;
+    if (!this->primary || this->currentTerm != term)
+        co_return;
+    std::uint64_t common = 0;
+    std::uint64_t entryTerm = 0;
+    while (words >> entryTerm && this->log.termAt(common + 1) == entryTerm)
+        ++common;
+    std::string hello = fmt::format("{}\n", common);
+    co_await asio::async_write(socket, asio::buffer(hello), asio::use_awaitable);
+    std::uint64_t sent = common;
+    auto beat = steady_clock::now();
+    while (this->primary && this->currentTerm == term) {
+        if (this->faults.cutReplication) {
+            co_await this->waitForChange(heartbeatInterval);
+            continue;
+        }
+        std::string lines;
+        while (sent < this->log.entries().size())
+            lines += encodeEntry(this->log.entries()[sent++]);
+        if (lines.empty() && steady_clock::now() - beat >= heartbeatInterval)
+            lines = "\n";
+        if (!lines.empty()) {
+            co_await asio::async_write(socket, asio::buffer(lines), asio::use_awaitable);
+            beat = steady_clock::now();
+        }
+        if (sent == this->log.entries().size())
+            co_await this->waitForChange(heartbeatInterval);
+    }
+}
+
+} // namespace catkinlock::standin
--- /dev/null
+++ b/src/standin/process.cpp
@@ -0,0 +1,113 @@
+#include "standin/process.h"
+
+#include <cerrno>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace catkinlock::standin {
+
+Process::Process(const std::vector<std::string>& command)
+{
+    int in[2];
+    int out[2];
+    if (pipe2(in, O_CLOEXEC) || pipe2(out, O_CLOEXEC)) {
+        std::perror("pipe");
+        std::abort();
+    }
+    this->id = fork();
+    if (!this->id) {
+        dup2(in[0], STDIN_FILENO);
+        dup2(out[1], STDOUT_FILENO);
+        dup2(out[1], STDERR_FILENO);
+        std::vector<char*> arguments;
+        for (const std::string& word : command)
+            arguments.push_back(const_cast<char*>(word.c_str()));
+        arguments.push_back(nullptr);
+        execv(arguments[0], arguments.data());
+        std::perror(arguments[0]);
+        _exit(127);
+    }
+    close(in[0]);
+    close(out[1]);
+    this->input = in[1];
+    this->outputDescriptor = out[0];
+    fcntl(this->outputDescriptor, F_SETFL, O_NONBLOCK);
+}
+
+Process::~Process()
+{
+    this->kill();
+    close(this->input);
+    close(this->outputDescriptor);
+}
+
+void Process::readSome(int timeoutMs)
+{
+    pollfd waiting { this->outputDescriptor, POLLIN, 0 };
+    if (poll(&waiting, 1, timeoutMs) <= 0)
+        return;
+    char buffer[8192];
+    ssize_t size;
+    while ((size = read(this->outputDescriptor, buffer, sizeof buffer)) > 0)
+        this->text.append(buffer, static_cast<std::size_t>(size));
+}
+
+std::string Process::awaitLineWith(const std::string& member, double seconds)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    std::string wanted = "\"" + member + "\"";
+    while (std::chrono::steady_clock::now() < end) {
+        std::size_t found = this->text.find(wanted);
+        std::size_t lineEnd = found == std::string::npos ? found : this->text.find('\n', found);
+        if (lineEnd != std::string::npos) {
+            std::size_t start = this->text.rfind('\n', found);
+            start = start == std::string::npos ? 0 : start + 1;
+            return this->text.substr(start, lineEnd - start);
+        }
+        this->readSome(50);
+    }
+    return {};
+}
+
+std::string Process::output()
+{
+    this->readSome(0);
+    return this->text;
+}
+
+void Process::sendSignal(int signal)
+{
+    if (this->id > 0)
+        ::kill(this->id, signal);
+}
+
+void Process::kill()
+{
+    if (this->id <= 0)
+        return;
+    ::kill(this->id, SIGKILL);
+    waitpid(this->id, nullptr, 0);
+    this->id = -1;
+}
+
+int Process::awaitExit(double seconds)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    while (this->id > 0 && std::chrono::steady_clock::now() < end) {
+        this->readSome(10);
+        int status = 0;
+        if (waitpid(this->id, &status, WNOHANG) == this->id) {
+            this->id = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+    }
+    return -1;
+}
+
+} // namespace catkinlock::standin
