--- a/src/catkinlock/main.cpp
+++ b/src/catkinlock/main.cpp
@@ -1,22 +1,95 @@
-#include "catkinlock/log.h"
-#include "catkinlock/settings.h"
-#include "libserver/instance.h"
+#include "catkinlock/command.h"
+#include <array>
+#include <cstring>
 #include <fmt/format.h>
-#include <fstream>
-#include <sstream>
+#include <popt.h>
 
-int main(int argc, char** argv)
+using namespace catkinlock;
+
+namespace {
+
+struct Command {
+    const char* name;
+    int (*run)(const CommandOptions&);
+};
+
+constexpr std::array<Command, 9> commands { {
+    { "serve", &runServe },
+    { "check", &runCheck },
+    { "route", &runTable },
+    { "pool", &runTable },
+    { "workspace", &runTable },
+    { "key", &runKey },
+    { "instance", &runInstance },
+    { "status", &runStatus },
+    { "report", &runReport },
+} };
+
+constexpr const char* usage = "COMMAND [OPTIONS]\n\n"
+                              "  serve                                run an entry instance\n"
+                              "  check                                check settings, and tables with --file\n"
+                              "  route|pool|workspace list            list the entries of a table\n"
+                              "  route|pool|workspace show NAME       show an entry and its revision\n"
+                              "  route|pool|workspace put NAME        write an entry from --file, based on --revision\n"
+                              "  route|pool|workspace delete NAME     delete an entry, based on --revision\n"
+                              "  key issue|withdraw DIGEST|list       keys of workspaces; a new key is shown once\n"
+                              "  instance list|drain NAME             the fleet as one instance sees it; drain one\n"
+                              "  status                               state of one instance\n"
+                              "  report burn                          use of the error budget by route and workspace\n\n"
+                              "Exit status: 0 done, 1 failed, 2 invalid, 3 conflict, 4 unknown.\n\nOptions:";
+
+struct RawOptions {
+    char* settings = nullptr;
+    char* address = nullptr;
+    char* file = nullptr;
+    char* workspace = nullptr;
+    long long revision = -1;
+    int json = 0;
+};
+
+std::string textOf(const char* text)
 {
-    std::string path = argc > 3 ? argv[3] : "";
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    auto settings = catkinlock::parseSettings(text.str(), path);
-    if (!settings) {
-        for (const auto& error : settings.error())
-            fmt::print(stderr, "{}\n", error.message);
-        return 2;
+    return text ? text : "";
+}
+
+int runCommand(const CommandOptions& options)
+{
+    for (const Command& command : commands) {
+        if (options.words[0] == command.name)
+            return command.run(options);
     }
-    catkinlock::setLogInstance(settings->name);
-    return catkinlock::Instance(*settings, {}).run();
+    fmt::print(stderr, "{} is not a command; see catkinlock --help\n", options.words[0]);
+    return exitInvalid;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    RawOptions raw;
+    poptOption table[] = {
+        { "settings", 's', POPT_ARG_STRING, &raw.settings, 0, "settings of the instance (TOML)", "FILE" },
+        { "address", 'a', POPT_ARG_STRING, &raw.address, 0, "an instance's address for callers", "IP:PORT" },
+        { "file", 'f', POPT_ARG_STRING, &raw.file, 0, "document to write or check (JSON)", "FILE" },
+        { "workspace", 'w', POPT_ARG_STRING, &raw.workspace, 0, "workspace of a new key", "NAME" },
+        { "revision", 'r', POPT_ARG_LONGLONG, &raw.revision, 0, "revision that the edit is based on; 0 if new", "N" },
+        { "json", 'j', POPT_ARG_NONE, &raw.json, 0, "print JSON", nullptr },
+        POPT_AUTOHELP POPT_TABLEEND,
+    };
+    poptContext context = poptGetContext("catkinlock", argc, const_cast<const char**>(argv), table, 0);
+    poptSetOtherOptionHelp(context, usage);
+    int parsed = poptGetNextOpt(context);
+    CommandOptions options { textOf(raw.settings), textOf(raw.address), textOf(raw.file), textOf(raw.workspace),
+        raw.revision, raw.json != 0, {} };
+    while (const char* word = poptGetArg(context))
+        options.words.emplace_back(word);
+    int status = exitInvalid;
+    if (parsed < -1)
+        fmt::print(stderr, "{}: {}\n", poptBadOption(context, POPT_BADOPTION_NOALIAS), poptStrerror(parsed));
+    else if (options.words.empty())
+        poptPrintHelp(context, stderr, 0);
+    else
+        status = runCommand(options);
+    poptFreeContext(context);
+    return status;
 }
--- /dev/null
+++ b/src/catkinlock/table_command.cpp
@@ -0,0 +1,130 @@
+// route, pool and workspace: list, show, put, delete.
+
+#include "catkinlock/command.h"
+#include "catkinlock/operator_client.h"
+#include "catkinlock/tables.h"
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace catkinlock {
+
+namespace json = boost::json;
+
+namespace {
+
+int fail(const PlatformError& error)
+{
+    fmt::print(stderr, "failed: {}\n", error.message);
+    return exitFailed;
+}
+
+json::object entryJson(const KeyValue& entry)
+{
+    json::error_code error;
+    json::value document = json::parse(entry.value, error);
+    return { { "name", entry.key.substr(entry.key.find('/') + 1) }, { "revision", entry.revision },
+        { "document", error ? json::value(entry.value) : document } };
+}
+
+int listEntries(OperatorClient& client, const CommandOptions& options)
+{
+    auto range = client.list(options.words[0] + "/");
+    if (!range)
+        return fail(range.error());
+    json::array rows;
+    for (const KeyValue& entry : range->values)
+        rows.push_back(entryJson(entry));
+    if (options.json) {
+        fmt::print("{}\n", json::serialize(rows));
+        return exitDone;
+    }
+    fmt::print("{:<24} {:>10}  {}\n", "NAME", "REVISION", "DOCUMENT");
+    for (const KeyValue& entry : range->values)
+        fmt::print("{:<24} {:>10}  {}\n", entry.key.substr(entry.key.find('/') + 1), entry.revision, entry.value);
+    return exitDone;
+}
+
+int showEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+{
+    auto found = client.show(key);
+    if (!found)
+        return fail(found.error());
+    if (!*found) {
+        fmt::print(stderr, "{} does not exist\n", key);
+        return exitFailed;
+    }
+    if (options.json)
+        fmt::print("{}\n", json::serialize(entryJson({ key, (*found)->value, (*found)->revision, false })));
+    else
+        fmt::print("revision {}\n{}\n", (*found)->revision, (*found)->value);
+    return exitDone;
+}
+
+int putEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+{
+    std::string text;
+    if (!readFile(options.file, text))
+        return exitInvalid;
+    auto valid = checkEntry({ key, text, 1, false });
+    if (!valid) {
+        fmt::print(stderr, "{}: {}\n", options.file, valid.error().message);
+        return exitInvalid;
+    }
+    std::vector<std::string> required;
+    if (options.words[0] == "route")
+        required.push_back("pool/" + parseRoute("", text)->pool);
+    std::string detail;
+    auto result = client.edit(key, options.revision, text, required, detail);
+    return reportEdit(result, detail);
+}
+
+int deleteEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+{
+    if (options.words[0] == "pool") {
+        auto routes = client.list("route/");
+        if (!routes)
+            return fail(routes.error());
+        for (const KeyValue& entry : routes->values) {
+            auto route = parseRoute("", entry.value);
+            if (route && "pool/" + route->pool == key) {
+                fmt::print(stderr, "{} still names this pool; change or delete it first\n", entry.key);
+                return exitInvalid;
+            }
+        }
+    }
+    std::string detail;
+    auto result = client.edit(key, options.revision, std::nullopt, {}, detail);
+    return reportEdit(result, detail);
+}
+
+} // namespace
+
+int runTable(const CommandOptions& options)
+{
+    Settings settings;
+    if (!loadSettings(options.settingsFile, settings))
+        return exitInvalid;
+    OperatorClient client(settings.platformAddress);
+    std::string verb = options.words.size() > 1 ? options.words[1] : "";
+    if (verb == "list")
+        return listEntries(client, options);
+    if (options.words.size() != 3) {
+        fmt::print(stderr, "usage: catkinlock {} list | show NAME | put NAME | delete NAME\n", options.words[0]);
+        return exitInvalid;
+    }
+    std::string key = options.words[0] + "/" + options.words[2];
+    if (verb == "show")
+        return showEntry(client, options, key);
+    if (options.revision < 0) {
+        fmt::print(stderr, "--revision is missing: the revision that `show` gave, or 0 for a new entry\n");
+        return exitInvalid;
+    }
+    if (verb == "put")
+        return putEntry(client, options, key);
+    if (verb == "delete")
+        return deleteEntry(client, options, key);
+    fmt::print(stderr, "{} is not one of list, show, put and delete\n", verb);
+    return exitInvalid;
+}
+
+} // namespace catkinlock
