--- a/src/catkinlock/instance_command.cpp
+++ b/src/catkinlock/instance_command.cpp
@@ -11,63 +11,63 @@
 
 namespace {
 
-// Fetches a page as JSON; false with a message on standard error.
-bool fetchJson(const CommandOptions& options, const std::string& path, json::value& value)
-{
-    if (options.address.empty()) {
-        fmt::print(stderr, "--address IP:PORT of an instance is missing\n");
-        return false;
-    }
-    auto page = fetchPage(options.address, path);
-    if (!page) {
-        fmt::print(stderr, "failed: {}\n", page.error().message);
-        return false;
+    // Fetches a page as JSON; false with a message on standard error.
+    bool fetchJson(const CommandOptions& options, const std::string& path, json::value& value)
+    {
+        if (options.address.empty()) {
+            fmt::print(stderr, "--address IP:PORT of an instance is missing\n");
+            return false;
+        }
+        auto page = fetchPage(options.address, path);
+        if (!page) {
+            fmt::print(stderr, "failed: {}\n", page.error().message);
+            return false;
+        }
+        json::error_code error;
+        value = json::parse(*page, error);
+        if (error)
+            fmt::print(stderr, "failed: {} answered with something else than JSON\n", options.address);
+        return !error;
     }
-    json::error_code error;
-    value = json::parse(*page, error);
-    if (error)
-        fmt::print(stderr, "failed: {} answered with something else than JSON\n", options.address);
-    return !error;
-}
 
-std::string plain(const json::value& value)
-{
-    return value.is_string() ? json::value_to<std::string>(value) : json::serialize(value);
-}
+    std::string plain(const json::value& value)
+    {
+        return value.is_string() ? json::value_to<std::string>(value) : json::serialize(value);
+    }
 
-int listInstances(const CommandOptions& options)
-{
-    json::value status;
-    if (!fetchJson(options, "/status", status))
-        return exitFailed;
-    const json::array& instances = status.at("instances").as_array();
-    if (options.json) {
-        fmt::print("{}\n", json::serialize(instances));
+    int listInstances(const CommandOptions& options)
+    {
+        json::value status;
+        if (!fetchJson(options, "/status", status))
+            return exitFailed;
+        const json::array& instances = status.at("instances").as_array();
+        if (options.json) {
+            fmt::print("{}\n", json::serialize(instances));
+            return exitDone;
+        }
+        fmt::print("{:<20} {:<22} {:<16} {:<8} {}\n", "NAME", "PEER", "DATA CENTRE", "STATE", "SLOTS");
+        for (const json::value& entry : instances)
+            fmt::print("{:<20} {:<22} {:<16} {:<8} {}\n", plain(entry.at("name")), plain(entry.at("peer")),
+                plain(entry.at("data_centre")), plain(entry.at("state")), entry.at("slots").as_array().size());
         return exitDone;
     }
-    fmt::print("{:<20} {:<22} {:<16} {:<8} {}\n", "NAME", "PEER", "DATA CENTRE", "STATE", "SLOTS");
-    for (const json::value& entry : instances)
-        fmt::print("{:<20} {:<22} {:<16} {:<8} {}\n", plain(entry.at("name")), plain(entry.at("peer")),
-            plain(entry.at("data_centre")), plain(entry.at("state")), entry.at("slots").as_array().size());
-    return exitDone;
-}
 
-int drainInstance(const CommandOptions& options)
-{
-    Settings settings;
-    if (!loadSettings(options.settingsFile, settings))
-        return exitInvalid;
-    OperatorClient client(settings.platformAddress);
-    std::string key = "instance/" + options.words[2];
-    auto found = client.show(key);
-    if (!found) {
-        fmt::print(stderr, "failed: {}\n", found.error().message);
-        return exitFailed;
+    int drainInstance(const CommandOptions& options)
+    {
+        Settings settings;
+        if (!loadSettings(options.settingsFile, settings))
+            return exitInvalid;
+        OperatorClient client(settings.platformAddress);
+        std::string key = "instance/" + options.words[2];
+        auto found = client.show(key);
+        if (!found) {
+            fmt::print(stderr, "failed: {}\n", found.error().message);
+            return exitFailed;
+        }
+        std::string detail;
+        auto result = client.edit(key, *found ? (*found)->revision : 0, R"({"drain": true})", {}, detail);
+        return reportEdit(result, detail);
     }
-    std::string detail;
-    auto result = client.edit(key, *found ? (*found)->revision : 0, R"({"drain": true})", {}, detail);
-    return reportEdit(result, detail);
-}
 
 } // namespace
 
@@ -116,9 +116,8 @@
     }
     fmt::print("{:<32} {:>8} {:>10} {:>8} {:>10}\n", "SUBJECT", "WINDOW", "REQUESTS", "FAILED", "BURN");
     for (const json::value& row : rows.as_array())
-        fmt::print("{:<32} {:>7}m {:>10} {:>8} {:>10.2f}\n", plain(row.at("subject")),
-            plain(row.at("window_minutes")), plain(row.at("total")), plain(row.at("failed")),
-            row.at("burn").to_number<double>());
+        fmt::print("{:<32} {:>7}m {:>10} {:>8} {:>10.2f}\n", plain(row.at("subject")), plain(row.at("window_minutes")),
+            plain(row.at("total")), plain(row.at("failed")), row.at("burn").to_number<double>());
     return exitDone;
 }
 
--- a/src/catkinlock/key_command.cpp
+++ b/src/catkinlock/key_command.cpp
@@ -13,64 +13,66 @@
 
 namespace {
 
-constexpr unsigned keyBytes = 24;
+    constexpr unsigned keyBytes = 24;
 
-int issueKey(OperatorClient& client, const CommandOptions& options)
-{
-    if (options.workspace.empty()) {
-        fmt::print(stderr, "--workspace NAME is missing\n");
-        return exitInvalid;
+    int issueKey(OperatorClient& client, const CommandOptions& options)
+    {
+        if (options.workspace.empty()) {
+            fmt::print(stderr, "--workspace NAME is missing\n");
+            return exitInvalid;
+        }
+        std::string key = randomHex(keyBytes);
+        std::string digest = sha256Hex(key);
+        std::string document = json::serialize(json::object { { "workspace", options.workspace } });
+        std::string detail;
+        auto result = client.edit("key/" + digest, 0, document, { "workspace/" + options.workspace }, detail);
+        if (result == EditResult::Done)
+            fmt::print("{}\n",
+                options.json ? json::serialize(json::object { { "key", key }, { "digest", digest } })
+                             : fmt::format("key    {}\ndigest {}", key, digest));
+        // Standard output holds the key alone, for scripts.
+        return result == EditResult::Done ? static_cast<int>(exitDone) : reportEdit(result, detail);
     }
-    std::string key = randomHex(keyBytes);
-    std::string digest = sha256Hex(key);
-    std::string document = json::serialize(json::object { { "workspace", options.workspace } });
-    std::string detail;
-    auto result = client.edit("key/" + digest, 0, document, { "workspace/" + options.workspace }, detail);
-    if (result == EditResult::Done)
-        fmt::print("{}\n", options.json ? json::serialize(json::object { { "key", key }, { "digest", digest } })
-                                        : fmt::format("key    {}\ndigest {}", key, digest));
-    // Standard output holds the key alone, for scripts.
-    return result == EditResult::Done ? static_cast<int>(exitDone) : reportEdit(result, detail);
-}
 
-int withdrawKey(OperatorClient& client, const CommandOptions& options)
-{
-    std::string key = "key/" + options.words[2];
-    auto found = client.show(key);
-    if (!found || !*found) {
-        fmt::print(stderr, "{}\n", found ? key + " does not exist" : "failed: " + found.error().message);
-        return exitFailed;
+    int withdrawKey(OperatorClient& client, const CommandOptions& options)
+    {
+        std::string key = "key/" + options.words[2];
+        auto found = client.show(key);
+        if (!found || !*found) {
+            fmt::print(stderr, "{}\n", found ? key + " does not exist" : "failed: " + found.error().message);
+            return exitFailed;
+        }
+        auto record = parseKeyRecord(options.words[2], (*found)->value);
+        json::object document { { "workspace", record ? record->workspace : "" }, { "withdrawn", true } };
+        std::string detail;
+        auto result = client.edit(key, (*found)->revision, json::serialize(document), {}, detail);
+        return reportEdit(result, detail);
     }
-    auto record = parseKeyRecord(options.words[2], (*found)->value);
-    json::object document { { "workspace", record ? record->workspace : "" }, { "withdrawn", true } };
-    std::string detail;
-    auto result = client.edit(key, (*found)->revision, json::serialize(document), {}, detail);
-    return reportEdit(result, detail);
-}
 
-int listKeys(OperatorClient& client, const CommandOptions& options)
-{
-    auto range = client.list("key/");
-    if (!range) {
-        fmt::print(stderr, "failed: {}\n", range.error().message);
-        return exitFailed;
-    }
-    json::array rows;
-    if (!options.json)
-        fmt::print("{:<64}  {:<20} {}\n", "DIGEST", "WORKSPACE", "STATE");
-    for (const KeyValue& entry : range->values) {
-        auto record = parseKeyRecord(entry.key.substr(entry.key.find('/') + 1), entry.value);
-        if (!record)
-            continue;
-        const char* state = record->withdrawn ? "withdrawn" : "valid";
-        rows.push_back(json::object { { "digest", record->digest }, { "workspace", record->workspace }, { "state", state } });
+    int listKeys(OperatorClient& client, const CommandOptions& options)
+    {
+        auto range = client.list("key/");
+        if (!range) {
+            fmt::print(stderr, "failed: {}\n", range.error().message);
+            return exitFailed;
+        }
+        json::array rows;
         if (!options.json)
-            fmt::print("{:<64}  {:<20} {}\n", record->digest, record->workspace, state);
+            fmt::print("{:<64}  {:<20} {}\n", "DIGEST", "WORKSPACE", "STATE");
+        for (const KeyValue& entry : range->values) {
+            auto record = parseKeyRecord(entry.key.substr(entry.key.find('/') + 1), entry.value);
+            if (!record)
+                continue;
+            const char* state = record->withdrawn ? "withdrawn" : "valid";
+            rows.push_back(
+                json::object { { "digest", record->digest }, { "workspace", record->workspace }, { "state", state } });
+            if (!options.json)
+                fmt::print("{:<64}  {:<20} {}\n", record->digest, record->workspace, state);
+        }
+        if (options.json)
+            fmt::print("{}\n", json::serialize(rows));
+        return exitDone;
     }
-    if (options.json)
-        fmt::print("{}\n", json::serialize(rows));
-    return exitDone;
-}
 
 } // namespace
 
--- a/src/catkinlock/main.cpp
+++ b/src/catkinlock/main.cpp
@@ -25,18 +25,19 @@
     { "report", &runReport },
 } };
 
-constexpr const char* usage = "COMMAND [OPTIONS]\n\n"
-                              "  serve                                run an entry instance\n"
-                              "  check                                check settings, and tables with --file\n"
-                              "  route|pool|workspace list            list the entries of a table\n"
-                              "  route|pool|workspace show NAME       show an entry and its revision\n"
-                              "  route|pool|workspace put NAME        write an entry from --file, based on --revision\n"
-                              "  route|pool|workspace delete NAME     delete an entry, based on --revision\n"
-                              "  key issue|withdraw DIGEST|list       keys of workspaces; a new key is shown once\n"
-                              "  instance list|drain NAME             the fleet as one instance sees it; drain one\n"
-                              "  status                               state of one instance\n"
-                              "  report burn                          use of the error budget by route and workspace\n\n"
-                              "Exit status: 0 done, 1 failed, 2 invalid, 3 conflict, 4 unknown.\n\nOptions:";
+constexpr const char* usage
+    = "COMMAND [OPTIONS]\n\n"
+      "  serve                                run an entry instance\n"
+      "  check                                check settings, and tables with --file\n"
+      "  route|pool|workspace list            list the entries of a table\n"
+      "  route|pool|workspace show NAME       show an entry and its revision\n"
+      "  route|pool|workspace put NAME        write an entry from --file, based on --revision\n"
+      "  route|pool|workspace delete NAME     delete an entry, based on --revision\n"
+      "  key issue|withdraw DIGEST|list       keys of workspaces; a new key is shown once\n"
+      "  instance list|drain NAME             the fleet as one instance sees it; drain one\n"
+      "  status                               state of one instance\n"
+      "  report burn                          use of the error budget by route and workspace\n\n"
+      "Exit status: 0 done, 1 failed, 2 invalid, 3 conflict, 4 unknown.\n\nOptions:";
 
 struct RawOptions {
     char* settings = nullptr;
@@ -47,10 +48,7 @@
     int json = 0;
 };
 
-std::string textOf(const char* text)
-{
-    return text ? text : "";
-}
+std::string textOf(const char* text) { return text ? text : ""; }
 
 int runCommand(const CommandOptions& options)
 {
--- a/src/catkinlock/operator_client.cpp
+++ b/src/catkinlock/operator_client.cpp
@@ -18,9 +18,9 @@
 
 namespace {
 
-constexpr Milliseconds callTimeout { 3000 };
-constexpr Milliseconds editTime { 10000 };
-constexpr Milliseconds retryPause { 200 };
+    constexpr Milliseconds callTimeout { 3000 };
+    constexpr Milliseconds editTime { 10000 };
+    constexpr Milliseconds retryPause { 200 };
 
 } // namespace
 
@@ -34,9 +34,8 @@
     template <typename Result> Result await(asio::awaitable<Result> call)
     {
         std::optional<Result> result;
-        asio::co_spawn(this->context, std::move(call), [&result](std::exception_ptr, Result value) {
-            result = std::move(value);
-        });
+        asio::co_spawn(
+            this->context, std::move(call), [&result](std::exception_ptr, Result value) { result = std::move(value); });
         this->context.restart();
         this->context.run();
         return std::move(*result);
@@ -93,7 +92,8 @@
                 return EditResult::Done;
             }
             if (revision != based) {
-                detail = fmt::format("{} is at revision {}, not {}; show it and base the edit on that", key, revision, based);
+                detail = fmt::format(
+                    "{} is at revision {}, not {}; show it and base the edit on that", key, revision, based);
                 return EditResult::Conflict;
             }
             if (swapped) {
@@ -102,8 +102,9 @@
             }
         }
         if (Clock::now() >= end) {
-            detail = mayHaveRun ? "the platform's answer is lost and it can't be read back; show the entry before any retry"
-                                : "nothing was changed: " + swapped.error().message;
+            detail = mayHaveRun
+                ? "the platform's answer is lost and it can't be read back; show the entry before any retry"
+                : "nothing was changed: " + swapped.error().message;
             return mayHaveRun ? EditResult::Unknown : EditResult::Failed;
         }
         std::this_thread::sleep_for(retryPause);
--- a/src/catkinlock/operator_client.h
+++ b/src/catkinlock/operator_client.h
@@ -27,8 +27,8 @@
     PlatformResult<KeyRange> list(const std::string& kind);
     PlatformResult<std::optional<KeyValue>> show(const std::string& key);
     /// Writes an entry, or deletes it without a value, if its revision is `based`. `required` entries have to exist. A
-    /// lost answer is settled by reading the entry back, and only then is the edit tried again. `detail` gets a sentence
-    /// for the operator.
+    /// lost answer is settled by reading the entry back, and only then is the edit tried again. `detail` gets a
+    /// sentence for the operator.
     EditResult edit(const std::string& key, std::int64_t based, const std::optional<std::string>& value,
         const std::vector<std::string>& required, std::string& detail);
 
--- a/src/catkinlock/serve_command.cpp
+++ b/src/catkinlock/serve_command.cpp
@@ -14,34 +14,34 @@
 
 namespace {
 
-// Checks a file of tables: {"route/NAME": {...}, "pool/NAME": {...}, ...}. Returns the number of faults.
-int checkTables(const std::string& path)
-{
-    std::string text;
-    if (!readFile(path, text))
-        return 1;
-    json::error_code error;
-    json::value value = json::parse(text, error);
-    if (error || !value.is_object()) {
-        fmt::print(stderr, "{}: {}\n", path, error ? error.message() : "must be an object of entries");
-        return 1;
-    }
-    int faults = 0;
-    std::vector<TableEntry> entries;
-    for (const auto& member : value.get_object())
-        entries.push_back({ member.key(), json::serialize(member.value()), 1, false });
-    std::vector<Error> rejected;
-    Tables tables = advanceTables({}, 1, entries, rejected);
-    for (const auto& [name, route] : tables.routes) {
-        if (!tables.pools.count(route.pool))
-            rejected.push_back({ fmt::format("route {}.pool: there is no pool {}", name, route.pool) });
+    // Checks a file of tables: {"route/NAME": {...}, "pool/NAME": {...}, ...}. Returns the number of faults.
+    int checkTables(const std::string& path)
+    {
+        std::string text;
+        if (!readFile(path, text))
+            return 1;
+        json::error_code error;
+        json::value value = json::parse(text, error);
+        if (error || !value.is_object()) {
+            fmt::print(stderr, "{}: {}\n", path, error ? error.message() : "must be an object of entries");
+            return 1;
+        }
+        int faults = 0;
+        std::vector<TableEntry> entries;
+        for (const auto& member : value.get_object())
+            entries.push_back({ member.key(), json::serialize(member.value()), 1, false });
+        std::vector<Error> rejected;
+        Tables tables = advanceTables({}, 1, entries, rejected);
+        for (const auto& [name, route] : tables.routes) {
+            if (!tables.pools.count(route.pool))
+                rejected.push_back({ fmt::format("route {}.pool: there is no pool {}", name, route.pool) });
+        }
+        for (const Error& fault : rejected) {
+            fmt::print(stderr, "{}: {}\n", path, fault.message);
+            ++faults;
+        }
+        return faults;
     }
-    for (const Error& fault : rejected) {
-        fmt::print(stderr, "{}: {}\n", path, fault.message);
-        ++faults;
-    }
-    return faults;
-}
 
 } // namespace
 
--- a/src/catkinlock/table_command.cpp
+++ b/src/catkinlock/table_command.cpp
@@ -12,90 +12,90 @@
 
 namespace {
 
-int fail(const PlatformError& error)
-{
-    fmt::print(stderr, "failed: {}\n", error.message);
-    return exitFailed;
-}
+    int fail(const PlatformError& error)
+    {
+        fmt::print(stderr, "failed: {}\n", error.message);
+        return exitFailed;
+    }
 
-json::object entryJson(const KeyValue& entry)
-{
-    json::error_code error;
-    json::value document = json::parse(entry.value, error);
-    return { { "name", entry.key.substr(entry.key.find('/') + 1) }, { "revision", entry.revision },
-        { "document", error ? json::value(entry.value) : document } };
-}
+    json::object entryJson(const KeyValue& entry)
+    {
+        json::error_code error;
+        json::value document = json::parse(entry.value, error);
+        return { { "name", entry.key.substr(entry.key.find('/') + 1) }, { "revision", entry.revision },
+            { "document", error ? json::value(entry.value) : document } };
+    }
 
-int listEntries(OperatorClient& client, const CommandOptions& options)
-{
-    auto range = client.list(options.words[0] + "/");
-    if (!range)
-        return fail(range.error());
-    json::array rows;
-    for (const KeyValue& entry : range->values)
-        rows.push_back(entryJson(entry));
-    if (options.json) {
-        fmt::print("{}\n", json::serialize(rows));
+    int listEntries(OperatorClient& client, const CommandOptions& options)
+    {
+        auto range = client.list(options.words[0] + "/");
+        if (!range)
+            return fail(range.error());
+        json::array rows;
+        for (const KeyValue& entry : range->values)
+            rows.push_back(entryJson(entry));
+        if (options.json) {
+            fmt::print("{}\n", json::serialize(rows));
+            return exitDone;
+        }
+        fmt::print("{:<24} {:>10}  {}\n", "NAME", "REVISION", "DOCUMENT");
+        for (const KeyValue& entry : range->values)
+            fmt::print("{:<24} {:>10}  {}\n", entry.key.substr(entry.key.find('/') + 1), entry.revision, entry.value);
         return exitDone;
     }
-    fmt::print("{:<24} {:>10}  {}\n", "NAME", "REVISION", "DOCUMENT");
-    for (const KeyValue& entry : range->values)
-        fmt::print("{:<24} {:>10}  {}\n", entry.key.substr(entry.key.find('/') + 1), entry.revision, entry.value);
-    return exitDone;
-}
 
-int showEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
-{
-    auto found = client.show(key);
-    if (!found)
-        return fail(found.error());
-    if (!*found) {
-        fmt::print(stderr, "{} does not exist\n", key);
-        return exitFailed;
+    int showEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+    {
+        auto found = client.show(key);
+        if (!found)
+            return fail(found.error());
+        if (!*found) {
+            fmt::print(stderr, "{} does not exist\n", key);
+            return exitFailed;
+        }
+        if (options.json)
+            fmt::print("{}\n", json::serialize(entryJson({ key, (*found)->value, (*found)->revision, false })));
+        else
+            fmt::print("revision {}\n{}\n", (*found)->revision, (*found)->value);
+        return exitDone;
     }
-    if (options.json)
-        fmt::print("{}\n", json::serialize(entryJson({ key, (*found)->value, (*found)->revision, false })));
-    else
-        fmt::print("revision {}\n{}\n", (*found)->revision, (*found)->value);
-    return exitDone;
-}
 
-int putEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
-{
-    std::string text;
-    if (!readFile(options.file, text))
-        return exitInvalid;
-    auto valid = checkEntry({ key, text, 1, false });
-    if (!valid) {
-        fmt::print(stderr, "{}: {}\n", options.file, valid.error().message);
-        return exitInvalid;
+    int putEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+    {
+        std::string text;
+        if (!readFile(options.file, text))
+            return exitInvalid;
+        auto valid = checkEntry({ key, text, 1, false });
+        if (!valid) {
+            fmt::print(stderr, "{}: {}\n", options.file, valid.error().message);
+            return exitInvalid;
+        }
+        std::vector<std::string> required;
+        if (options.words[0] == "route")
+            required.push_back("pool/" + parseRoute("", text)->pool);
+        std::string detail;
+        auto result = client.edit(key, options.revision, text, required, detail);
+        return reportEdit(result, detail);
     }
-    std::vector<std::string> required;
-    if (options.words[0] == "route")
-        required.push_back("pool/" + parseRoute("", text)->pool);
-    std::string detail;
-    auto result = client.edit(key, options.revision, text, required, detail);
-    return reportEdit(result, detail);
-}
 
-int deleteEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
-{
-    if (options.words[0] == "pool") {
-        auto routes = client.list("route/");
-        if (!routes)
-            return fail(routes.error());
-        for (const KeyValue& entry : routes->values) {
-            auto route = parseRoute("", entry.value);
-            if (route && "pool/" + route->pool == key) {
-                fmt::print(stderr, "{} still names this pool; change or delete it first\n", entry.key);
-                return exitInvalid;
+    int deleteEntry(OperatorClient& client, const CommandOptions& options, const std::string& key)
+    {
+        if (options.words[0] == "pool") {
+            auto routes = client.list("route/");
+            if (!routes)
+                return fail(routes.error());
+            for (const KeyValue& entry : routes->values) {
+                auto route = parseRoute("", entry.value);
+                if (route && "pool/" + route->pool == key) {
+                    fmt::print(stderr, "{} still names this pool; change or delete it first\n", entry.key);
+                    return exitInvalid;
+                }
             }
         }
+        std::string detail;
+        auto result = client.edit(key, options.revision, std::nullopt, {}, detail);
+        return reportEdit(result, detail);
     }
-    std::string detail;
-    auto result = client.edit(key, options.revision, std::nullopt, {}, detail);
-    return reportEdit(result, detail);
-}
 
 } // namespace
 
--- a/src/include/catkinlock/caller_request.h
+++ b/src/include/catkinlock/caller_request.h
@@ -27,8 +27,8 @@
     auto operator<=>(const CallerRequest&) const = default;
 };
 
-/// Reads the JSON body of a request into `request`: {"statements": [{"sql": ..., "parameters": [...]}], "shard": ...}. An
-/// error names the faulty member.
+/// Reads the JSON body of a request into `request`: {"statements": [{"sql": ..., "parameters": [...]}], "shard": ...}.
+/// An error names the faulty member.
 tl::expected<void, Error> parseCallerBody(const std::string& body, CallerRequest& request);
 
 } // namespace catkinlock
--- a/src/include/catkinlock/failover.h
+++ b/src/include/catkinlock/failover.h
@@ -57,8 +57,8 @@
     std::vector<FailoverAction> tick(
         const GroupState&, TimePoint now, unsigned rank, bool reachedByOthers, double jitter);
     /// Takes in a member's answer to Fence.
-    std::vector<FailoverAction> fenced(std::size_t member, std::uint64_t term, bool accepted, const MemberStatus&,
-        TimePoint now);
+    std::vector<FailoverAction> fenced(
+        std::size_t member, std::uint64_t term, bool accepted, const MemberStatus&, TimePoint now);
     /// Takes in a member's answer to Promote. True if the election is won.
     bool promoted(std::size_t member, std::uint64_t term, bool accepted);
 
@@ -68,7 +68,7 @@
 private:
     struct Machine;
 
-    bool primaryIsLost(const GroupState&, TimePoint now, bool reachedByOthers) const;
+    bool primaryIsLost(const GroupState&, TimePoint now, bool reachedByOthers);
     std::vector<FailoverAction> startElection(const GroupState&, TimePoint now);
     std::vector<FailoverAction> reconcile(const GroupState&, TimePoint now, unsigned rank);
 
@@ -79,6 +79,11 @@
     TimePoint stepEnd;
     TimePoint notBefore;
     std::optional<TimePoint> lostSince;
+    // The primary's term and when it was first seen. Silence from before a primary's time is not its own.
+    std::uint64_t seenTerm = 0;
+    TimePoint seenSince;
+    // A primary that a majority of its replicas can't hear. It may have the newest log and still be of no use.
+    std::optional<std::size_t> avoided;
     std::vector<std::pair<std::size_t, MemberStatus>> acceptances;
     std::vector<TimePoint> followedAt;
 };
--- a/src/include/catkinlock/membership.h
+++ b/src/include/catkinlock/membership.h
@@ -54,8 +54,8 @@
     const InstanceRecord& self() const { return this->records.at(this->selfName).record; }
     /// Changes this instance's own record; it gets a new version.
     void setSelf(InstanceState, std::vector<std::uint32_t> slots);
-    /// Takes in a record from a peer or the platform's list. True if it was news. A record that calls this instance dead
-    /// is answered with a newer one.
+    /// Takes in a record from a peer or the platform's list. True if it was news. A record that calls this instance
+    /// dead is answered with a newer one.
     bool apply(const InstanceRecord&, TimePoint now);
     /// Notes that a peer answered, or that it did not; after three in a row it counts as dead.
     void noteAnswer(const std::string& name, TimePoint now);
--- a/src/include/catkinlock/peer_link.h
+++ b/src/include/catkinlock/peer_link.h
@@ -17,8 +17,9 @@
 
 namespace catkinlock {
 
-/// Messages between instances: protobuf over ZeroMQ, each sealed with the fleet's secret. Sending never waits; a message
-/// may be lost, late or twice, and what uses this link has to bear it. One thread, which runs the given context.
+/// Messages between instances: protobuf over ZeroMQ, each sealed with the fleet's secret. Sending never waits; a
+/// message may be lost, late or twice, and what uses this link has to bear it. One thread, which runs the given
+/// context.
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
     using Handler = std::function<void(const wire::Envelope&)>;
@@ -31,8 +32,8 @@
     /// Starts to call `handler` for each authentic message, on the context's thread.
     void start(Handler handler);
     void stop();
-    /// Sends to the instance that listens on `address`. False if it was dropped here, so that no byte of it left. Only on
-    /// the context's thread.
+    /// Sends to the instance that listens on `address`. False if it was dropped here, so that no byte of it left. Only
+    /// on the context's thread.
     bool send(const std::string& address, wire::Envelope&);
 
     std::uint64_t bytesSent() const { return this->sentBytes.load(); }
--- a/src/include/catkinlock/platform_client.h
+++ b/src/include/catkinlock/platform_client.h
@@ -66,15 +66,16 @@
     /// exist) and every key of `required` exists. `lease` 0 means none. A key in `alsoWrite` gets an empty value in the
     /// same transaction.
     boost::asio::awaitable<PlatformResult<SwapResult>> compareAndSwap(std::string key, std::int64_t expected,
-        std::optional<std::string> value, std::int64_t lease = 0, std::vector<std::string> required = {}, std::string alsoWrite = {});
+        std::optional<std::string> value, std::int64_t lease = 0, std::vector<std::string> required = {},
+        std::string alsoWrite = {});
     /// Grants a lease and returns its id.
     boost::asio::awaitable<PlatformResult<std::int64_t>> grantLease(std::uint32_t seconds);
     /// Renews a lease. False if it was over before.
     boost::asio::awaitable<PlatformResult<bool>> keepLeaseAlive(std::int64_t lease);
     boost::asio::awaitable<PlatformResult<bool>> revokeLease(std::int64_t lease);
 
-    /// Calls `onAnswer(revision, changes)` for every answer to a watch on `prefix`, from `fromRevision` on. Returns when
-    /// the watch breaks, or when nothing came for `silence`.
+    /// Calls `onAnswer(revision, changes)` for every answer to a watch on `prefix`, from `fromRevision` on. Returns
+    /// when the watch breaks, or when nothing came for `silence`.
     boost::asio::awaitable<PlatformError> watch(std::string prefix, std::int64_t fromRevision, Milliseconds silence,
         std::function<void(std::int64_t, const std::vector<KeyValue>&)> onAnswer);
 
--- a/src/include/catkinlock/routing_view.h
+++ b/src/include/catkinlock/routing_view.h
@@ -33,8 +33,8 @@
 
     bool operator==(const RoutingView&) const = default;
 
-    /// The gateways of a database in the order in which to try them: this instance, then its data centre, then the rest;
-    /// leaving ones last.
+    /// The gateways of a database in the order in which to try them: this instance, then its data centre, then the
+    /// rest; leaving ones last.
     std::vector<GatewayChoice> gatewaysFor(const std::string& database) const;
 };
 
--- a/src/include/catkinlock/settings.h
+++ b/src/include/catkinlock/settings.h
@@ -43,8 +43,8 @@
     bool operator==(const Settings&) const = default;
 };
 
-/// Reads settings from the text of a TOML file. Every fault is named with file, line and key; with any fault there are no
-/// settings.
+/// Reads settings from the text of a TOML file. Every fault is named with file, line and key; with any fault there are
+/// no settings.
 tl::expected<Settings, std::vector<Error>> parseSettings(const std::string& text, const std::string& fileName);
 
 } // namespace catkinlock
--- a/src/include/catkinlock/share_bucket.h
+++ b/src/include/catkinlock/share_bucket.h
@@ -22,9 +22,9 @@
     auto operator<=>(const ShareLoan&) const = default;
 };
 
-/// One instance's part of a workspace's rate. The whole is a fixed number of units. Each unit is at one instance at most
-/// and stands for its fraction of the rate and of the burst, so that all instances together never admit more than the
-/// rate and burst allow, whatever is lost, doubled or late between them. No clock is read here.
+/// One instance's part of a workspace's rate. The whole is a fixed number of units. Each unit is at one instance at
+/// most and stands for its fraction of the rate and of the burst, so that all instances together never admit more than
+/// the rate and burst allow, whatever is lost, doubled or late between them. No clock is read here.
 ///
 /// Home units come with the slots that the instance holds under a lease. A loan moves units for a bounded time: the
 /// borrower counts it from when it asked, the lender from when it granted and a little longer, so nothing has to be
@@ -38,8 +38,8 @@
     std::int64_t advance(TimePoint now, std::int64_t level);
     /// Changes rate and burst from now on.
     std::int64_t setRate(std::uint32_t rate, std::uint32_t burst, std::int64_t level);
-    /// Changes the home units and how long the lease on them lasts. Units come without tokens; with fewer units the level
-    /// may shrink.
+    /// Changes the home units and how long the lease on them lasts. Units come without tokens; with fewer units the
+    /// level may shrink.
     std::int64_t setHome(std::uint64_t units, TimePoint validUntil, std::int64_t level);
     /// Lends up to `wanted` units that `demand` (requests a second) does not need, and takes their tokens off `level`.
     /// Nothing if there is nothing to spare. Call `advance` first.
@@ -67,6 +67,7 @@
     };
 
     std::int64_t accrueTo(TimePoint, std::int64_t level);
+    std::int64_t keep(std::int64_t level);
 
     std::uint32_t rate;
     std::uint32_t burst;
@@ -75,6 +76,8 @@
     std::vector<Term> lent;
     std::vector<Term> borrowed;
     TimePoint accruedTo;
+    // The level after the last change; what is missing from it since was spent.
+    std::int64_t base = 0;
     // What the last accrual left over, in units of 1 / (unitsPerWorkspace * 1e6) thousandths of a token.
     std::uint64_t remainder = 0;
 };
--- a/src/include/catkinlock/tables.h
+++ b/src/include/catkinlock/tables.h
@@ -123,11 +123,11 @@
     bool operator==(const Tables&) const = default;
 };
 
-/// The snapshot after `entries`, which complete everything up to `revision`. An entry older than what the snapshot holds
-/// under its key is passed over, so that nothing reverts. An entry that doesn't parse leaves the last accepted one in
-/// force and is named in `rejected`.
-Tables advanceTables(const Tables&, std::int64_t revision, const std::vector<TableEntry>& entries,
-    std::vector<Error>& rejected);
+/// The snapshot after `entries`, which complete everything up to `revision`. An entry older than what the snapshot
+/// holds under its key is passed over, so that nothing reverts. An entry that doesn't parse leaves the last accepted
+/// one in force and is named in `rejected`.
+Tables advanceTables(
+    const Tables&, std::int64_t revision, const std::vector<TableEntry>& entries, std::vector<Error>& rejected);
 
 /// Checks one document the way `advanceTables` would.
 tl::expected<void, Error> checkEntry(const TableEntry&);
--- a/src/include/catkinlock/target_connection.h
+++ b/src/include/catkinlock/target_connection.h
@@ -41,8 +41,8 @@
     /// Connects to "ip:port"; an error says why not.
     boost::asio::awaitable<tl::expected<void, TargetError>> connect(std::string address, TimePoint deadline);
     /// Sends all statements at once and returns their answers in order. The first failing one ends the run: none after
-    /// it is executed. With `resetFirst` the session state that earlier statements left is discarded before, in the same
-    /// round trip.
+    /// it is executed. With `resetFirst` the session state that earlier statements left is discarded before, in the
+    /// same round trip.
     boost::asio::awaitable<tl::expected<std::vector<ResultSet>, TargetError>> run(
         std::vector<Statement> statements, TimePoint deadline, bool resetFirst = false);
     /// Runs one statement.
@@ -70,7 +70,8 @@
 };
 
 Statement rollbackStatement();
-/// The statement that asks a member for its status, and its answer as a value. An error says that the answer is not one.
+/// The statement that asks a member for its status, and its answer as a value. An error says that the answer is not
+/// one.
 Statement statusStatement();
 tl::expected<MemberStatus, TargetError> parseStatus(const ResultSet&);
 /// True if the answer to an order to a member (fence, promote, follow) says that it was accepted.
--- a/src/libcore/attempt_history.cpp
+++ b/src/libcore/attempt_history.cpp
@@ -8,26 +8,21 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 2> codesOfRecord { "settled_not_run", "key_reused" };
-constexpr std::array<std::string_view, 10> transientCodes { "no_connections", "no_primary", "target_unreachable",
-    "target_lost", "primary_replaced", "no_fresh_member", "leaving", "no_gateway", "not_gateway", "age_not_proved" };
-
-template <typename List> bool contains(const List& list, const std::string& code)
-{
-    return std::find(list.begin(), list.end(), code) != list.end();
-}
+    constexpr std::array<std::string_view, 2> codesOfRecord { "settled_not_run", "key_reused" };
+    constexpr std::array<std::string_view, 10> transientCodes { "no_connections", "no_primary", "target_unreachable",
+        "target_lost", "primary_replaced", "no_fresh_member", "leaving", "no_gateway", "not_gateway",
+        "age_not_proved" };
+
+    template <typename List> bool contains(const List& list, const std::string& code)
+    {
+        return std::find(list.begin(), list.end(), code) != list.end();
+    }
 
 } // namespace
 
-bool speaksForAllAttempts(const Refusal& refusal)
-{
-    return contains(codesOfRecord, refusal.code);
-}
+bool speaksForAllAttempts(const Refusal& refusal) { return contains(codesOfRecord, refusal.code); }
 
-bool isTransient(const Refusal& refusal)
-{
-    return contains(transientCodes, refusal.code);
-}
+bool isTransient(const Refusal& refusal) { return contains(transientCodes, refusal.code); }
 
 DatabaseResult AttemptHistory::add(DatabaseResult result)
 {
--- a/src/libcore/burn_meter.cpp
+++ b/src/libcore/burn_meter.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-// Samples closer together than this replace each other.
-constexpr std::chrono::seconds sampleInterval { 30 };
+    // Samples closer together than this replace each other.
+    constexpr std::chrono::seconds sampleInterval { 30 };
 
 } // namespace
 
@@ -34,8 +34,7 @@
                     start = &sample;
             }
             const ServiceCounts& end = line.back().counts;
-            BurnRow row { subject, window,
-                { end.total - start->counts.total, end.failed - start->counts.failed }, 0 };
+            BurnRow row { subject, window, { end.total - start->counts.total, end.failed - start->counts.failed }, 0 };
             if (row.counts.total)
                 row.burn = static_cast<double>(row.counts.failed) / static_cast<double>(row.counts.total) / errorBudget;
             rows.push_back(std::move(row));
--- a/src/libcore/caller_request.cpp
+++ b/src/libcore/caller_request.cpp
@@ -10,54 +10,51 @@
 
 namespace {
 
-constexpr std::size_t mostStatements = 256;
-constexpr std::size_t mostParameters = 1024;
-constexpr std::size_t mostShardBytes = 256;
+    constexpr std::size_t mostStatements = 256;
+    constexpr std::size_t mostParameters = 1024;
+    constexpr std::size_t mostShardBytes = 256;
 
-tl::unexpected<Error> fault(std::string message)
-{
-    return tl::unexpected(Error { std::move(message) });
-}
+    tl::unexpected<Error> fault(std::string message) { return tl::unexpected(Error { std::move(message) }); }
 
-tl::expected<std::optional<std::string>, Error> readParameter(const json::value& value, const std::string& place)
-{
-    if (value.is_null())
-        return std::optional<std::string>();
-    if (value.is_string())
-        return std::optional(json::value_to<std::string>(value));
-    if (value.is_bool())
-        return std::optional<std::string>(value.get_bool() ? "true" : "false");
-    if (value.is_number())
-        return std::optional(json::serialize(value));
-    return fault(place + " must be a text, a number, true, false or null");
-}
+    tl::expected<std::optional<std::string>, Error> readParameter(const json::value& value, const std::string& place)
+    {
+        if (value.is_null())
+            return std::optional<std::string>();
+        if (value.is_string())
+            return std::optional(json::value_to<std::string>(value));
+        if (value.is_bool())
+            return std::optional<std::string>(value.get_bool() ? "true" : "false");
+        if (value.is_number())
+            return std::optional(json::serialize(value));
+        return fault(place + " must be a text, a number, true, false or null");
+    }
 
-tl::expected<Statement, Error> readStatement(const json::value& value, const std::string& place)
-{
-    const json::object* object = value.if_object();
-    const json::value* sql = object ? object->if_contains("sql") : nullptr;
-    if (!sql || !sql->is_string())
-        return fault(place + ".sql must be a text");
-    Statement statement;
-    statement.sql = json::value_to<std::string>(*sql);
-    const json::value* parameters = object->if_contains("parameters");
-    if (object->size() > (parameters ? 2u : 1u))
-        return fault(place + " may hold sql and parameters only");
-    if (parameters) {
-        const json::array* list = parameters->if_array();
-        if (!list || list->size() > mostParameters)
-            return fault(fmt::format("{}.parameters must be a list of at most {}", place, mostParameters));
-        for (std::size_t i = 0; i < list->size(); ++i) {
-            auto parameter = readParameter(list->at(i), fmt::format("{}.parameters[{}]", place, i));
-            if (!parameter)
-                return tl::unexpected(parameter.error());
-            statement.parameters.push_back(std::move(*parameter));
+    tl::expected<Statement, Error> readStatement(const json::value& value, const std::string& place)
+    {
+        const json::object* object = value.if_object();
+        const json::value* sql = object ? object->if_contains("sql") : nullptr;
+        if (!sql || !sql->is_string())
+            return fault(place + ".sql must be a text");
+        Statement statement;
+        statement.sql = json::value_to<std::string>(*sql);
+        const json::value* parameters = object->if_contains("parameters");
+        if (object->size() > (parameters ? 2u : 1u))
+            return fault(place + " may hold sql and parameters only");
+        if (parameters) {
+            const json::array* list = parameters->if_array();
+            if (!list || list->size() > mostParameters)
+                return fault(fmt::format("{}.parameters must be a list of at most {}", place, mostParameters));
+            for (std::size_t i = 0; i < list->size(); ++i) {
+                auto parameter = readParameter(list->at(i), fmt::format("{}.parameters[{}]", place, i));
+                if (!parameter)
+                    return tl::unexpected(parameter.error());
+                statement.parameters.push_back(std::move(*parameter));
+            }
         }
+        if (auto allowed = checkStatement(statement); !allowed)
+            return fault(place + ": " + allowed.error().message);
+        return statement;
     }
-    if (auto allowed = checkStatement(statement); !allowed)
-        return fault(place + ": " + allowed.error().message);
-    return statement;
-}
 
 } // namespace
 
--- a/src/libcore/digest.cpp
+++ b/src/libcore/digest.cpp
@@ -11,22 +11,19 @@
 
 namespace {
 
-std::string toHex(const unsigned char* data, std::size_t size)
-{
-    static const char digits[] = "0123456789abcdef";
-    std::string text;
-    text.reserve(size * 2);
-    for (std::size_t i = 0; i < size; ++i) {
-        text += digits[data[i] >> 4];
-        text += digits[data[i] & 15];
+    std::string toHex(const unsigned char* data, std::size_t size)
+    {
+        static const char digits[] = "0123456789abcdef";
+        std::string text;
+        text.reserve(size * 2);
+        for (std::size_t i = 0; i < size; ++i) {
+            text += digits[data[i] >> 4];
+            text += digits[data[i] & 15];
+        }
+        return text;
     }
-    return text;
-}
 
-const unsigned char* bytes(std::string_view text)
-{
-    return reinterpret_cast<const unsigned char*>(text.data());
-}
+    const unsigned char* bytes(std::string_view text) { return reinterpret_cast<const unsigned char*>(text.data()); }
 
 } // namespace
 
@@ -62,8 +59,8 @@
     if (text.empty() || text.size() % 4)
         return {};
     std::string data(text.size() / 4 * 3, '\0');
-    int size = EVP_DecodeBlock(
-        reinterpret_cast<unsigned char*>(data.data()), bytes(text), static_cast<int>(text.size()));
+    int size
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(data.data()), bytes(text), static_cast<int>(text.size()));
     if (size < 0)
         return {};
     std::size_t padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
--- a/src/libcore/failover.cpp
+++ b/src/libcore/failover.cpp
@@ -9,34 +9,34 @@
 
 namespace {
 
-namespace msm = boost::msm;
-using msm::front::none;
-using msm::front::Row;
-
-struct PrimaryLost { };
-struct MajorityFenced { };
-struct Won { };
-struct StepTimedOut { };
-
-// Watching: the group has a primary, or none yet. Fencing: members promise the new term. Promoting: the chosen one is
-// asked to be its primary.
-struct ElectionDefinition : msm::front::state_machine_def<ElectionDefinition> {
-    struct Watching : msm::front::state<> { };
-    struct Fencing : msm::front::state<> { };
-    struct Promoting : msm::front::state<> { };
-    using initial_state = Watching;
-    using transition_table = boost::mpl::vector<Row<Watching, PrimaryLost, Fencing, none, none>,
-        Row<Fencing, MajorityFenced, Promoting, none, none>, Row<Fencing, StepTimedOut, Watching, none, none>,
-        Row<Promoting, Won, Watching, none, none>, Row<Promoting, StepTimedOut, Watching, none, none>>;
-
-    // An event that a state does not expect is late; it changes nothing.
-    template <typename Event, typename Machine> void no_transition(const Event&, Machine&, int) { }
-};
-
-enum ElectionState {
-    watchingState = 0,
-    fencingState = 1,
-};
+    namespace msm = boost::msm;
+    using msm::front::none;
+    using msm::front::Row;
+
+    struct PrimaryLost { };
+    struct MajorityFenced { };
+    struct Won { };
+    struct StepTimedOut { };
+
+    // Watching: the group has a primary, or none yet. Fencing: members promise the new term. Promoting: the chosen one
+    // is asked to be its primary.
+    struct ElectionDefinition : msm::front::state_machine_def<ElectionDefinition> {
+        struct Watching : msm::front::state<> { };
+        struct Fencing : msm::front::state<> { };
+        struct Promoting : msm::front::state<> { };
+        using initial_state = Watching;
+        using transition_table = boost::mpl::vector<Row<Watching, PrimaryLost, Fencing, none, none>,
+            Row<Fencing, MajorityFenced, Promoting, none, none>, Row<Fencing, StepTimedOut, Watching, none, none>,
+            Row<Promoting, Won, Watching, none, none>, Row<Promoting, StepTimedOut, Watching, none, none>>;
+
+        // An event that a state does not expect is late; it changes nothing.
+        template <typename Event, typename Machine> void no_transition(const Event&, Machine&, int) { }
+    };
+
+    enum ElectionState {
+        watchingState = 0,
+        fencingState = 1,
+    };
 
 } // namespace
 
@@ -59,17 +59,19 @@
 Failover::Failover(Failover&&) noexcept = default;
 Failover& Failover::operator=(Failover&&) noexcept = default;
 
-bool Failover::electing() const
-{
-    return !this->machine->is(watchingState);
-}
+bool Failover::electing() const { return !this->machine->is(watchingState); }
 
-bool Failover::primaryIsLost(const GroupState& group, TimePoint now, bool reachedByOthers) const
+bool Failover::primaryIsLost(const GroupState& group, TimePoint now, bool reachedByOthers)
 {
+    this->avoided.reset();
     auto primary = group.primary();
     if (!primary)
         return true;
     const GroupState::View& view = group.view(*primary);
+    if (this->seenTerm != view.status->position.term) {
+        this->seenTerm = view.status->position.term;
+        this->seenSince = now;
+    }
     bool answers = !view.failures;
     Duration silence = now - view.answeredAt;
     // Replicas that answered lately and don't hear the primary themselves.
@@ -80,8 +82,11 @@
         bool current = i != *primary && other.status && !other.failures && now - other.answeredAt < wanted;
         deaf += current && Milliseconds(other.status->heardMs) >= wanted;
     }
-    if (deaf >= group.majority() && (answers || silence >= this->times.suspectAfter))
+    bool hadTime = now - this->seenSince >= wanted;
+    if (deaf >= group.majority() && hadTime && (answers || silence >= this->times.suspectAfter)) {
+        this->avoided = primary;
         return true;
+    }
     return !answers && silence >= this->times.unreachableAfter && !reachedByOthers;
 }
 
@@ -124,19 +129,20 @@
 std::vector<FailoverAction> Failover::fenced(
     std::size_t member, std::uint64_t fencedTerm, bool accepted, const MemberStatus& status, TimePoint now)
 {
-    if (!this->machine->is(fencingState) || fencedTerm != this->term || !accepted)
+    bool counts = accepted && fencedTerm == this->term && member != this->avoided;
+    if (!this->machine->is(fencingState) || !counts)
         return {};
     this->acceptances.emplace_back(member, status);
     if (this->acceptances.size() < this->memberCount / 2 + 1)
         return {};
     this->machine->process_event(MajorityFenced());
     this->stepEnd = now + this->times.stepTimeout;
-    auto newest = std::max_element(
-        this->acceptances.begin(), this->acceptances.end(), [](const auto& left, const auto& right) {
-            Position leftEnd { left.second.logTerm, left.second.position.lsn };
-            Position rightEnd { right.second.logTerm, right.second.position.lsn };
-            return leftEnd < rightEnd;
-        });
+    auto newest
+        = std::max_element(this->acceptances.begin(), this->acceptances.end(), [](const auto& left, const auto& right) {
+              Position leftEnd { left.second.logTerm, left.second.position.lsn };
+              Position rightEnd { right.second.logTerm, right.second.position.lsn };
+              return leftEnd < rightEnd;
+          });
     return { { FailoverAction::Kind::Promote, newest->first, this->term } };
 }
 
--- a/src/libcore/group_state.cpp
+++ b/src/libcore/group_state.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t mostSamples = 4096;
+    constexpr std::size_t mostSamples = 4096;
 
 } // namespace
 
@@ -34,10 +34,7 @@
     this->proveSamples();
 }
 
-void GroupState::noteFailure(std::size_t member, TimePoint)
-{
-    ++this->views[member].failures;
-}
+void GroupState::noteFailure(std::size_t member, TimePoint) { ++this->views[member].failures; }
 
 void GroupState::notePosition(std::size_t member, const Position& position)
 {
--- a/src/libcore/instance_lifecycle.cpp
+++ b/src/libcore/instance_lifecycle.cpp
@@ -8,27 +8,27 @@
 
 namespace {
 
-namespace msm = boost::msm;
-using msm::front::none;
-using msm::front::Row;
-
-struct TablesLoaded { };
-struct LeaveRequested { };
-struct NothingInFlight { };
-
-struct LifecycleDefinition : msm::front::state_machine_def<LifecycleDefinition> {
-    struct Starting : msm::front::state<> { };
-    struct Serving : msm::front::state<> { };
-    struct Draining : msm::front::state<> { };
-    struct Stopped : msm::front::state<> { };
-    using initial_state = Starting;
-    using transition_table = boost::mpl::vector<Row<Starting, TablesLoaded, Serving, none, none>,
-        Row<Starting, LeaveRequested, Draining, none, none>, Row<Serving, LeaveRequested, Draining, none, none>,
-        Row<Draining, NothingInFlight, Stopped, none, none>>;
-
-    // An event that a state does not expect has come twice or late; it changes nothing.
-    template <typename Event, typename Machine> void no_transition(const Event&, Machine&, int) { }
-};
+    namespace msm = boost::msm;
+    using msm::front::none;
+    using msm::front::Row;
+
+    struct TablesLoaded { };
+    struct LeaveRequested { };
+    struct NothingInFlight { };
+
+    struct LifecycleDefinition : msm::front::state_machine_def<LifecycleDefinition> {
+        struct Starting : msm::front::state<> { };
+        struct Serving : msm::front::state<> { };
+        struct Draining : msm::front::state<> { };
+        struct Stopped : msm::front::state<> { };
+        using initial_state = Starting;
+        using transition_table = boost::mpl::vector<Row<Starting, TablesLoaded, Serving, none, none>,
+            Row<Starting, LeaveRequested, Draining, none, none>, Row<Serving, LeaveRequested, Draining, none, none>,
+            Row<Draining, NothingInFlight, Stopped, none, none>>;
+
+        // An event that a state does not expect has come twice or late; it changes nothing.
+        template <typename Event, typename Machine> void no_transition(const Event&, Machine&, int) { }
+    };
 
 } // namespace
 
@@ -42,20 +42,11 @@
 
 InstanceLifecycle::~InstanceLifecycle() = default;
 
-void InstanceLifecycle::ready()
-{
-    this->machine->process_event(TablesLoaded());
-}
+void InstanceLifecycle::ready() { this->machine->process_event(TablesLoaded()); }
 
-void InstanceLifecycle::leave()
-{
-    this->machine->process_event(LeaveRequested());
-}
+void InstanceLifecycle::leave() { this->machine->process_event(LeaveRequested()); }
 
-void InstanceLifecycle::drained()
-{
-    this->machine->process_event(NothingInFlight());
-}
+void InstanceLifecycle::drained() { this->machine->process_event(NothingInFlight()); }
 
 InstanceLifecycle::State InstanceLifecycle::state() const
 {
--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -10,35 +10,32 @@
 
 namespace {
 
-// Set once, before any thread starts.
-std::string& instanceName()
-{
-    static std::string name;
-    return name;
-}
+    // Set once, before any thread starts.
+    std::string& instanceName()
+    {
+        static std::string name;
+        return name;
+    }
 
-const char* levelName(LogLevel level)
-{
-    switch (level) {
-    case LogLevel::Info:
-        return "info";
-    case LogLevel::Warning:
-        return "warning";
-    case LogLevel::Error:
-        break;
+    const char* levelName(LogLevel level)
+    {
+        switch (level) {
+        case LogLevel::Info:
+            return "info";
+        case LogLevel::Warning:
+            return "warning";
+        case LogLevel::Error:
+            break;
+        }
+        return "error";
     }
-    return "error";
-}
 
 } // namespace
 
-void setLogInstance(const std::string& name)
-{
-    instanceName() = name;
-}
+void setLogInstance(const std::string& name) { instanceName() = name; }
 
-void writeLog(LogLevel level, std::string_view event,
-    std::initializer_list<std::pair<std::string_view, std::string>> members)
+void writeLog(
+    LogLevel level, std::string_view event, std::initializer_list<std::pair<std::string_view, std::string>> members)
 {
     auto now = std::chrono::system_clock::now();
     auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
--- a/src/libcore/membership.cpp
+++ b/src/libcore/membership.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-constexpr unsigned silencesUntilDead = 3;
-constexpr unsigned sendsPerDoubling = 3;
-
-// Dead instances are forgotten at different times, so they are not part of the digest.
-std::uint64_t hashOf(const InstanceRecord& record)
-{
-    if (record.state == InstanceState::Dead)
-        return 0;
-    std::uint64_t hash = stableHash(record.name, record.incarnation);
-    hash = stableHash(record.name, hash ^ record.version);
-    return stableHash(record.name, hash + static_cast<std::uint64_t>(record.state));
-}
+    constexpr unsigned silencesUntilDead = 3;
+    constexpr unsigned sendsPerDoubling = 3;
+
+    // Dead instances are forgotten at different times, so they are not part of the digest.
+    std::uint64_t hashOf(const InstanceRecord& record)
+    {
+        if (record.state == InstanceState::Dead)
+            return 0;
+        std::uint64_t hash = stableHash(record.name, record.incarnation);
+        hash = stableHash(record.name, hash ^ record.version);
+        return stableHash(record.name, hash + static_cast<std::uint64_t>(record.state));
+    }
 
 } // namespace
 
--- a/src/libcore/result_json.cpp
+++ b/src/libcore/result_json.cpp
@@ -27,7 +27,10 @@
 tl::expected<std::vector<ResultSet>, Error> readResults(const std::string& text)
 {
     json::error_code error;
-    json::value value = json::parse(text, error);
+    json::parse_options options;
+    // A target's text is passed on as it came.
+    options.allow_invalid_utf8 = true;
+    json::value value = json::parse(text, error, {}, options);
     if (error || !value.is_array())
         return tl::unexpected(Error { "not a list of result sets" });
     std::vector<ResultSet> results;
--- a/src/libcore/session_token.cpp
+++ b/src/libcore/session_token.cpp
@@ -8,23 +8,23 @@
 
 namespace {
 
-constexpr std::size_t sealBytes = 32;
+    constexpr std::size_t sealBytes = 32;
 
-bool readNumber(const std::string& text, std::size_t& from, std::uint64_t& value)
-{
-    auto [end, error] = std::from_chars(text.data() + from, text.data() + text.size(), value);
-    if (error != std::errc() || end == text.data() + text.size() || *end != '\n')
-        return false;
-    from = static_cast<std::size_t>(end - text.data()) + 1;
-    return true;
-}
+    bool readNumber(const std::string& text, std::size_t& from, std::uint64_t& value)
+    {
+        auto [end, error] = std::from_chars(text.data() + from, text.data() + text.size(), value);
+        if (error != std::errc() || end == text.data() + text.size() || *end != '\n')
+            return false;
+        from = static_cast<std::size_t>(end - text.data()) + 1;
+        return true;
+    }
 
 } // namespace
 
 std::string sealToken(const SessionToken& token, const std::string& secret)
 {
-    std::string body = fmt::format(
-        "{}\n{}\n{}\n{}", token.position.term, token.position.lsn, token.workspace, token.database);
+    std::string body
+        = fmt::format("{}\n{}\n{}\n{}", token.position.term, token.position.lsn, token.workspace, token.database);
     return encodeBase64(hmacSha256(body, secret) + body);
 }
 
--- a/src/libcore/share_bucket.cpp
+++ b/src/libcore/share_bucket.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-// Nanoseconds times rate, units and thousandths, divided by this, are thousandths of a token.
-constexpr std::uint64_t accrualDivisor = unitsPerWorkspace * 1000000;
-// A lender counts a loan for this much longer than the borrower, for clocks that run at different speeds.
-constexpr int lenderMarginDivisor = 50;
-// A lender keeps this part of its home units for its own first requests.
-constexpr std::uint64_t keptPart = 16;
-// A lender keeps this many times what its own demand takes.
-constexpr double demandMargin = 1.5;
+    // Nanoseconds times rate, units and thousandths, divided by this, are thousandths of a token.
+    constexpr std::uint64_t accrualDivisor = unitsPerWorkspace * 1000000;
+    // A lender counts a loan for this much longer than the borrower, for clocks that run at different speeds.
+    constexpr int lenderMarginDivisor = 50;
+    // A lender keeps this part of its home units for its own first requests.
+    constexpr std::uint64_t keptPart = 16;
+    // A lender keeps this many times what its own demand takes.
+    constexpr double demandMargin = 1.5;
 
 } // namespace
 
@@ -86,6 +86,10 @@
 
 std::int64_t ShareBucket::advance(TimePoint now, std::int64_t level)
 {
+    // When tokens were spent since the last change is not known. Counted as spent at the latest moment, what came in
+    // before runs over a full bucket; counted as spent at once, a burst after a quiet time would be refilled from it.
+    std::int64_t spent = this->base - level;
+    level = this->base;
     // Units end one after the other, and between two ends the rate is constant.
     for (;;) {
         TimePoint next = this->validUntil();
@@ -93,14 +97,22 @@
             next = std::min(next, term.end);
         if (next > now)
             break;
-        level = this->accrueTo(next, level);
+        // Nothing is spent past an end without an advance.
+        level = this->accrueTo(next, level) - spent;
+        spent = 0;
         std::erase_if(this->borrowed, [next](const Term& term) { return term.end <= next; });
         std::erase_if(this->lent, [next](const Term& term) { return term.end <= next; });
         if (this->homeUntil <= next)
             this->home = 0;
         level = std::min(level, this->capacity());
     }
-    return this->accrueTo(now, level);
+    return this->keep(this->accrueTo(now, level) - spent);
+}
+
+std::int64_t ShareBucket::keep(std::int64_t level)
+{
+    this->base = level;
+    return level;
 }
 
 std::int64_t ShareBucket::setRate(std::uint32_t newRate, std::uint32_t newBurst, std::int64_t level)
@@ -108,14 +120,14 @@
     this->rate = newRate;
     this->burst = newBurst;
     this->remainder = 0;
-    return std::min(level, this->capacity());
+    return this->keep(std::min(level, this->capacity()));
 }
 
 std::int64_t ShareBucket::setHome(std::uint64_t newUnits, TimePoint validUntil, std::int64_t level)
 {
     this->home = newUnits;
     this->homeUntil = validUntil;
-    return std::min(level, this->capacity());
+    return this->keep(std::min(level, this->capacity()));
 }
 
 std::optional<ShareLoan> ShareBucket::lend(
@@ -135,14 +147,14 @@
     std::uint64_t given = std::min(wanted, spare);
     if (!given)
         return std::nullopt;
-    auto tokens = static_cast<std::int64_t>(
-        static_cast<unsigned __int128>(std::max<std::int64_t>(level, 0)) * given / own);
+    auto tokens
+        = static_cast<std::int64_t>(static_cast<unsigned __int128>(std::max<std::int64_t>(level, 0)) * given / own);
     std::int64_t before = this->capacity();
     this->lent.push_back({ given, now + counted });
     std::int64_t left = this->capacity();
     // The level that stays must fit into the units that stay, and what goes into those that go.
     tokens = std::min(std::max(tokens, level - left), before - left);
-    level = std::min(level - tokens, left);
+    level = this->keep(std::min(level - tokens, left));
     return ShareLoan { given, tokens, duration };
 }
 
@@ -152,7 +164,7 @@
     if (end <= now)
         return level;
     this->borrowed.push_back({ loan.units, end });
-    return std::min(level + loan.milliTokens, this->capacity());
+    return this->keep(std::min(level + loan.milliTokens, this->capacity()));
 }
 
 } // namespace catkinlock
--- /dev/null
+++ b/src/libcore/share_bucket_test.cpp
@@ -0,0 +1,282 @@
+#include "catkinlock/share_bucket.h"
+#include <algorithm>
+#include <deque>
+#include <gtest/gtest.h>
+#include <queue>
+#include <random>
+#include <rapidcheck/gtest.h>
+
+using namespace catkinlock;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t instanceCount = 6;
+constexpr std::uint32_t shareSlots = 12;
+constexpr std::uint64_t unitsPerSlot = unitsPerWorkspace / shareSlots;
+constexpr milliseconds loanTime { 2000 };
+
+// A decision that a test changes to see that the check catches it.
+enum class Mutation {
+    None,
+    LenderKeepsUnits,
+    BorrowerCountsFromArrival,
+    DoubledLoansAreTaken,
+    HolderIgnoresItsDeadline,
+};
+
+struct Message {
+    TimePoint at;
+    std::size_t lender;
+    std::size_t borrower;
+    std::uint64_t id;
+    TimePoint askedAt;
+    ShareLoan loan;
+};
+
+struct Instance {
+    std::vector<ShareBucket> bucket;
+    std::int64_t level = 0;
+    TimePoint pausedUntil;
+    // Slots, and until when the holder itself counts on them.
+    std::vector<std::uint32_t> slots;
+    TimePoint leaseEnd;
+    std::vector<std::pair<std::uint64_t, TimePoint>> asked;
+};
+
+// A fleet that lends and borrows under an adversary: messages are late, lost or doubled, holders are paused past their
+// leases, and slots change hands when the platform ends a lease.
+class Fleet {
+public:
+    Fleet(std::uint64_t seed, std::uint32_t rate, std::uint32_t burst, Mutation mutation)
+        : random(seed)
+        , rate(rate)
+        , burst(burst)
+        , mutation(mutation)
+        , slotFreeAt(shareSlots, this->start)
+        , slotHolder(shareSlots, instanceCount)
+    {
+        for (Instance& instance : this->instances)
+            instance.bucket.emplace_back(rate, burst, this->start);
+    }
+
+    // Milliseconds at which requests were admitted, in order.
+    std::vector<int> run(int lengthMs)
+    {
+        std::vector<int> admitted;
+        for (int now = 0; now < lengthMs; ++now) {
+            this->now = this->start + milliseconds(now);
+            for (std::size_t i = 0; i < instanceCount; ++i) {
+                if (this->instances[i].pausedUntil > this->now)
+                    continue;
+                this->keepSlots(this->instances[i], i);
+                this->lendAndBorrow(i);
+                this->admit(this->instances[i], now, admitted);
+            }
+        }
+        return admitted;
+    }
+
+private:
+    int pick(int least, int most) { return std::uniform_int_distribution<int>(least, most)(this->random); }
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(this->random); }
+
+    // The lease of each holder: 3 s at the platform, a little less by the holder's own reckoning.
+    void keepSlots(Instance& instance, std::size_t index)
+    {
+        if (this->chance(0.0002))
+            instance.pausedUntil = this->now + milliseconds(this->pick(100, 6000));
+        if (this->chance(0.01) || instance.slots.empty()) {
+            bool kept = !instance.slots.empty() && this->now < instance.leaseEnd;
+            if (!kept)
+                instance.slots.clear();
+            for (std::uint32_t slot = 0; slot < shareSlots; ++slot) {
+                bool mine = kept && this->slotHolder[slot] == index;
+                bool free = this->slotFreeAt[slot] <= this->now && instance.slots.size() < 2;
+                if (!mine && !free)
+                    continue;
+                this->slotHolder[slot] = index;
+                this->slotFreeAt[slot] = this->now + milliseconds(3000);
+                if (!mine)
+                    instance.slots.push_back(slot);
+            }
+            instance.leaseEnd = this->now + milliseconds(2850);
+            instance.level = instance.bucket[0].advance(this->now, instance.level);
+            instance.level
+                = instance.bucket[0].setHome(unitsPerSlot * instance.slots.size(), instance.leaseEnd, instance.level);
+        }
+    }
+
+    void lendAndBorrow(std::size_t index)
+    {
+        Instance& instance = this->instances[index];
+        if (this->chance(0.004)) {
+            std::size_t lender = static_cast<std::size_t>(this->pick(0, instanceCount - 1));
+            instance.asked.emplace_back(++this->lastId, this->now);
+            if (lender != index && !this->chance(0.1))
+                this->requests.push_back(
+                    { this->now + milliseconds(this->pick(1, 40)), lender, index, this->lastId, this->now, {} });
+        }
+        // Lend what was asked for, answers may be lost, late or doubled.
+        for (std::size_t i = 0; i < this->requests.size();) {
+            Message message = this->requests[i];
+            if (message.lender != index || message.at > this->now) {
+                ++i;
+                continue;
+            }
+            this->requests.erase(this->requests.begin() + static_cast<std::ptrdiff_t>(i));
+            instance.level = instance.bucket[0].advance(this->now, instance.level);
+            ShareBucket unlent = instance.bucket[0];
+            std::int64_t before = instance.level;
+            auto loan = instance.bucket[0].lend(
+                this->now, static_cast<std::uint64_t>(this->pick(1, 300000)), loanTime, 0, instance.level);
+            if (this->mutation == Mutation::LenderKeepsUnits) {
+                instance.bucket[0] = unlent;
+                instance.level = before;
+            }
+            if (!loan || this->chance(0.1))
+                continue;
+            message.loan = *loan;
+            for (int copy = this->chance(0.2) ? 2 : 1; copy; --copy) {
+                message.at = this->now + milliseconds(this->chance(0.1) ? this->pick(500, 3000) : this->pick(1, 40));
+                this->replies.push_back(message);
+            }
+        }
+        for (std::size_t i = 0; i < this->replies.size();) {
+            Message message = this->replies[i];
+            if (message.borrower != index || message.at > this->now) {
+                ++i;
+                continue;
+            }
+            this->replies.erase(this->replies.begin() + static_cast<std::ptrdiff_t>(i));
+            auto asked = std::find_if(instance.asked.begin(), instance.asked.end(),
+                [&](const auto& item) { return item.first == message.id; });
+            bool known = asked != instance.asked.end();
+            if (!known && this->mutation != Mutation::DoubledLoansAreTaken)
+                continue;
+            if (known)
+                instance.asked.erase(asked);
+            TimePoint from = this->mutation == Mutation::BorrowerCountsFromArrival ? this->now : message.askedAt;
+            instance.level = instance.bucket[0].advance(this->now, instance.level);
+            instance.level = instance.bucket[0].borrow(from, this->now, message.loan, instance.level);
+        }
+    }
+
+    void admit(Instance& instance, int nowMs, std::vector<int>& admitted)
+    {
+        // Quiet times fill every bucket, and a rush then spends all that the fleet holds.
+        bool rush = nowMs % 2000 > 1600;
+        int arrivals = rush && this->chance(0.5) ? this->pick(0, 20) : 0;
+        bool refills = nowMs % 100 == 0;
+        if (refills)
+            instance.level = instance.bucket[0].advance(this->now, instance.level);
+        for (; arrivals; --arrivals) {
+            bool valid
+                = this->now < instance.bucket[0].validUntil() || this->mutation == Mutation::HolderIgnoresItsDeadline;
+            if (!valid || instance.level < milliPerToken)
+                return;
+            instance.level -= milliPerToken;
+            admitted.push_back(nowMs);
+        }
+    }
+
+    std::mt19937_64 random;
+    std::uint32_t rate;
+    std::uint32_t burst;
+    Mutation mutation;
+    TimePoint start { milliseconds(1000) };
+    TimePoint now;
+    std::array<Instance, instanceCount> instances;
+    std::vector<TimePoint> slotFreeAt;
+    std::vector<std::size_t> slotHolder;
+    std::deque<Message> requests;
+    std::deque<Message> replies;
+    std::uint64_t lastId = 0;
+};
+
+// Largest excess of any window over rate * time + burst, in requests. Negative if every window has room.
+double worstExcess(const std::vector<int>& admitted, double rate, double burst)
+{
+    // For each end, the window that starts where i - rate * t(i) is least is the worst.
+    double least = 1e18;
+    double worst = -1e18;
+    for (std::size_t i = 0; i < admitted.size(); ++i) {
+        double drift = rate * admitted[i] / 1000.0;
+        least = std::min(least, static_cast<double>(i) - drift);
+        worst = std::max(worst, static_cast<double>(i + 1) - drift - least - burst);
+    }
+    return worst;
+}
+
+bool someSeedExceeds(Mutation mutation)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        if (worstExcess(Fleet(seed, 400, 100, mutation).run(12000), 400, 100) > 0)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+RC_GTEST_PROP(ShareBucket, AllInstancesTogetherStayWithinRateAndBurst, ())
+{
+    auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    auto rate = *rc::gen::inRange<std::uint32_t>(1, 2000);
+    auto burst = *rc::gen::inRange<std::uint32_t>(1, 500);
+    auto admitted = Fleet(seed, rate, burst, Mutation::None).run(8000);
+    RC_ASSERT(worstExcess(admitted, rate, burst) <= 0);
+}
+
+TEST(ShareBucket, CheckSeesALenderThatKeepsItsUnits) { EXPECT_TRUE(someSeedExceeds(Mutation::LenderKeepsUnits)); }
+
+TEST(ShareBucket, CheckSeesABorrowerThatCountsFromTheArrival)
+{
+    EXPECT_TRUE(someSeedExceeds(Mutation::BorrowerCountsFromArrival));
+}
+
+TEST(ShareBucket, CheckSeesDoubledLoans) { EXPECT_TRUE(someSeedExceeds(Mutation::DoubledLoansAreTaken)); }
+
+TEST(ShareBucket, CheckSeesAHolderThatIgnoresItsDeadline)
+{
+    EXPECT_TRUE(someSeedExceeds(Mutation::HolderIgnoresItsDeadline));
+}
+
+TEST(ShareBucket, OneHolderOfEverythingGetsTheWholeRate)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 10, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    level = bucket.advance(start + milliseconds(50), level);
+    EXPECT_EQ(level, 5 * milliPerToken);
+    EXPECT_EQ(bucket.advance(start + milliseconds(5000), level), 10 * milliPerToken);
+}
+
+// A burst right after a quiet time must not be refilled from the quiet time.
+TEST(ShareBucket, SpendingBeforeALateRefillIsNotRefilledFromBefore)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 10, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    level = bucket.advance(start + milliseconds(1000), level);
+    ASSERT_EQ(level, 10 * milliPerToken);
+    EXPECT_EQ(bucket.advance(start + milliseconds(2000), level - 10 * milliPerToken), 0);
+}
+
+TEST(ShareBucket, LeaseEndTakesTheUnits)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 10, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + milliseconds(500), 0);
+    EXPECT_EQ(bucket.advance(start + milliseconds(600), level), 0);
+    EXPECT_EQ(bucket.units(), 0u);
+}
+
+TEST(ShareBucket, RateThatFallsTakesTheSurplus)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 10, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    level = bucket.advance(start + milliseconds(5000), level);
+    EXPECT_EQ(bucket.setRate(50, 3, level), 3 * milliPerToken);
+}
--- a/src/libcore/statement_check.cpp
+++ b/src/libcore/statement_check.cpp
@@ -10,40 +10,41 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> allowedCommands { "SELECT", "INSERT", "UPDATE", "DELETE", "WITH", "VALUES",
-    "MERGE", "TABLE", "EXPLAIN" };
+    constexpr std::array<std::string_view, 9> allowedCommands { "SELECT", "INSERT", "UPDATE", "DELETE", "WITH",
+        "VALUES", "MERGE", "TABLE", "EXPLAIN" };
 
-// The position after spaces and comments.
-std::size_t skipBlanks(std::string_view sql)
-{
-    std::size_t at = 0;
-    while (at < sql.size()) {
-        if (std::isspace(static_cast<unsigned char>(sql[at])) || sql[at] == '(') {
-            ++at;
-        } else if (sql.substr(at, 2) == "--") {
-            at = std::min(sql.find('\n', at), sql.size());
-        } else if (sql.substr(at, 2) == "/*") {
-            // PostgreSQL's comments nest.
-            int depth = 0;
-            do {
-                std::string_view pair = sql.substr(at, 2);
-                int change = pair == "/*" ? 1 : pair == "*/" ? -1 : 0;
-                depth += change;
-                at += change ? 2 : 1;
-            } while (depth && at < sql.size());
-        } else
-            break;
+    // The position after spaces and comments.
+    std::size_t skipBlanks(std::string_view sql)
+    {
+        std::size_t at = 0;
+        while (at < sql.size()) {
+            if (std::isspace(static_cast<unsigned char>(sql[at])) || sql[at] == '(') {
+                ++at;
+            } else if (sql.substr(at, 2) == "--") {
+                at = std::min(sql.find('\n', at), sql.size());
+            } else if (sql.substr(at, 2) == "/*") {
+                // PostgreSQL's comments nest.
+                int depth = 0;
+                do {
+                    std::string_view pair = sql.substr(at, 2);
+                    int change = pair == "/*" ? 1 : pair == "*/" ? -1 : 0;
+                    depth += change;
+                    at += change ? 2 : 1;
+                } while (depth && at < sql.size());
+            } else
+                break;
+        }
+        return at;
     }
-    return at;
-}
 
-std::string firstWord(std::string_view sql)
-{
-    std::string word;
-    for (std::size_t at = skipBlanks(sql); at < sql.size() && std::isalpha(static_cast<unsigned char>(sql[at])); ++at)
-        word += static_cast<char>(std::toupper(static_cast<unsigned char>(sql[at])));
-    return word;
-}
+    std::string firstWord(std::string_view sql)
+    {
+        std::string word;
+        for (std::size_t at = skipBlanks(sql); at < sql.size() && std::isalpha(static_cast<unsigned char>(sql[at]));
+             ++at)
+            word += static_cast<char>(std::toupper(static_cast<unsigned char>(sql[at])));
+        return word;
+    }
 
 } // namespace
 
--- a/src/libcore/tables.cpp
+++ b/src/libcore/tables.cpp
@@ -11,191 +11,191 @@
 
 namespace {
 
-// Reads the members of one JSON object and keeps the first fault.
-class ObjectReader {
-public:
-    ObjectReader(const json::value& value, std::string what)
-        : what(std::move(what))
-    {
-        if (value.is_object())
-            this->object = &value.get_object();
-        else
-            this->fail("", "must be an object");
-    }
+    // Reads the members of one JSON object and keeps the first fault.
+    class ObjectReader {
+    public:
+        ObjectReader(const json::value& value, std::string what)
+            : what(std::move(what))
+        {
+            if (value.is_object())
+                this->object = &value.get_object();
+            else
+                this->fail("", "must be an object");
+        }
 
-    const json::value* take(const char* name)
-    {
-        if (!this->object)
-            return nullptr;
-        this->known.push_back(name);
-        return this->object->if_contains(name);
-    }
+        const json::value* take(const char* name)
+        {
+            if (!this->object)
+                return nullptr;
+            this->known.push_back(name);
+            return this->object->if_contains(name);
+        }
 
-    void text(const char* name, std::string& out, bool required)
-    {
-        const json::value* value = this->take(name);
-        if (!value && !required)
-            return;
-        if (!value || !value->is_string() || value->get_string().empty())
-            return this->fail(name, "must be a text that is not empty");
-        out = json::value_to<std::string>(*value);
-    }
+        void text(const char* name, std::string& out, bool required)
+        {
+            const json::value* value = this->take(name);
+            if (!value && !required)
+                return;
+            if (!value || !value->is_string() || value->get_string().empty())
+                return this->fail(name, "must be a text that is not empty");
+            out = json::value_to<std::string>(*value);
+        }
 
-    void flag(const char* name, bool& out)
-    {
-        const json::value* value = this->take(name);
-        if (!value)
-            return;
-        if (!value->is_bool())
-            return this->fail(name, "must be true or false");
-        out = value->get_bool();
-    }
+        void flag(const char* name, bool& out)
+        {
+            const json::value* value = this->take(name);
+            if (!value)
+                return;
+            if (!value->is_bool())
+                return this->fail(name, "must be true or false");
+            out = value->get_bool();
+        }
 
-    void number(const char* name, std::uint32_t& out, std::uint32_t least, std::uint32_t most, bool required)
-    {
-        const json::value* value = this->take(name);
-        if (!value && !required)
-            return;
-        bool inRange = value && value->is_int64() && value->get_int64() >= least && value->get_int64() <= most;
-        if (!inRange)
-            return this->fail(name, fmt::format("must be a whole number from {} to {}", least, most));
-        out = static_cast<std::uint32_t>(value->get_int64());
-    }
+        void number(const char* name, std::uint32_t& out, std::uint32_t least, std::uint32_t most, bool required)
+        {
+            const json::value* value = this->take(name);
+            if (!value && !required)
+                return;
+            bool inRange = value && value->is_int64() && value->get_int64() >= least && value->get_int64() <= most;
+            if (!inRange)
+                return this->fail(name, fmt::format("must be a whole number from {} to {}", least, most));
+            out = static_cast<std::uint32_t>(value->get_int64());
+        }
 
-    const json::array* list(const char* name, bool required)
-    {
-        const json::value* value = this->take(name);
-        if (!value && !required)
-            return nullptr;
-        if (!value || !value->is_array()) {
-            this->fail(name, "must be a list");
-            return nullptr;
+        const json::array* list(const char* name, bool required)
+        {
+            const json::value* value = this->take(name);
+            if (!value && !required)
+                return nullptr;
+            if (!value || !value->is_array()) {
+                this->fail(name, "must be a list");
+                return nullptr;
+            }
+            return &value->get_array();
         }
-        return &value->get_array();
-    }
 
-    void fail(const std::string& name, const std::string& message)
-    {
-        if (!this->fault)
-            this->fault = Error { fmt::format("{}{}{}: {}", this->what, name.empty() ? "" : ".", name, message) };
-    }
+        void fail(const std::string& name, const std::string& message)
+        {
+            if (!this->fault)
+                this->fault = Error { fmt::format("{}{}{}: {}", this->what, name.empty() ? "" : ".", name, message) };
+        }
 
-    // Also refuses unknown members, which are mostly misspelt ones.
-    std::optional<Error> finish()
-    {
-        if (this->object) {
-            for (const auto& member : *this->object) {
-                std::string name = member.key();
-                if (std::find(this->known.begin(), this->known.end(), name) == this->known.end())
-                    this->fail(name, "is not known");
+        // Also refuses unknown members, which are mostly misspelt ones.
+        std::optional<Error> finish()
+        {
+            if (this->object) {
+                for (const auto& member : *this->object) {
+                    std::string name = member.key();
+                    if (std::find(this->known.begin(), this->known.end(), name) == this->known.end())
+                        this->fail(name, "is not known");
+                }
             }
+            return this->fault;
         }
-        return this->fault;
-    }
 
-private:
-    std::string what;
-    const json::object* object = nullptr;
-    std::vector<std::string> known;
-    std::optional<Error> fault;
-};
+    private:
+        std::string what;
+        const json::object* object = nullptr;
+        std::vector<std::string> known;
+        std::optional<Error> fault;
+    };
 
-tl::expected<json::value, Error> parseDocument(const std::string& what, const std::string& text)
-{
-    json::error_code error;
-    json::value value = json::parse(text, error);
-    if (error)
-        return tl::unexpected(Error { fmt::format("{}: not JSON: {}", what, error.message()) });
-    return value;
-}
+    tl::expected<json::value, Error> parseDocument(const std::string& what, const std::string& text)
+    {
+        json::error_code error;
+        json::value value = json::parse(text, error);
+        if (error)
+            return tl::unexpected(Error { fmt::format("{}: not JSON: {}", what, error.message()) });
+        return value;
+    }
 
-bool isAddress(const std::string& text)
-{
-    std::size_t colon = text.rfind(':');
-    if (colon == std::string::npos || !colon || colon + 1 == text.size() || text.size() - colon > 6)
-        return false;
-    return std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(),
-        [](unsigned char letter) { return std::isdigit(letter); });
-}
+    bool isAddress(const std::string& text)
+    {
+        std::size_t colon = text.rfind(':');
+        if (colon == std::string::npos || !colon || colon + 1 == text.size() || text.size() - colon > 6)
+            return false;
+        return std::all_of(text.begin() + static_cast<std::ptrdiff_t>(colon) + 1, text.end(),
+            [](unsigned char letter) { return std::isdigit(letter); });
+    }
 
-constexpr std::uint32_t mostConnections = 10000;
-constexpr std::uint32_t mostRate = 10000000;
-constexpr std::uint32_t mostAgeMs = 86400000;
-constexpr std::uint32_t mostWeight = 1000;
+    constexpr std::uint32_t mostConnections = 10000;
+    constexpr std::uint32_t mostRate = 10000000;
+    constexpr std::uint32_t mostAgeMs = 86400000;
+    constexpr std::uint32_t mostWeight = 1000;
 
-tl::expected<Member, Error> readMember(const std::string& what, const json::value& value)
-{
-    Member member;
-    ObjectReader reader(value, what);
-    reader.text("name", member.name, true);
-    reader.text("address", member.address, true);
-    reader.text("data_centre", member.dataCentre, false);
-    reader.flag("leaving", member.leaving);
-    if (!member.address.empty() && !isAddress(member.address))
-        reader.fail("address", "must be IP:PORT");
-    if (auto fault = reader.finish())
-        return tl::unexpected(*fault);
-    return member;
-}
+    tl::expected<Member, Error> readMember(const std::string& what, const json::value& value)
+    {
+        Member member;
+        ObjectReader reader(value, what);
+        reader.text("name", member.name, true);
+        reader.text("address", member.address, true);
+        reader.text("data_centre", member.dataCentre, false);
+        reader.flag("leaving", member.leaving);
+        if (!member.address.empty() && !isAddress(member.address))
+            reader.fail("address", "must be IP:PORT");
+        if (auto fault = reader.finish())
+            return tl::unexpected(*fault);
+        return member;
+    }
 
-tl::expected<Database, Error> readDatabase(const std::string& what, const json::value& value)
-{
-    Database database;
-    ObjectReader reader(value, what);
-    reader.text("name", database.name, true);
-    reader.number("connections", database.connections, 1, mostConnections, true);
-    const json::array* members = reader.list("members", true);
-    if (members && members->empty())
-        reader.fail("members", "must name at least one member");
-    if (auto fault = reader.finish())
-        return tl::unexpected(*fault);
-    for (std::size_t i = 0; i < members->size(); ++i) {
-        auto member = readMember(fmt::format("{}.members[{}]", what, i), members->at(i));
-        if (!member)
-            return tl::unexpected(member.error());
-        for (const Member& other : database.members) {
-            if (other.name == member->name || other.address == member->address)
-                return tl::unexpected(Error { fmt::format("{}.members[{}]: stands twice", what, i) });
+    tl::expected<Database, Error> readDatabase(const std::string& what, const json::value& value)
+    {
+        Database database;
+        ObjectReader reader(value, what);
+        reader.text("name", database.name, true);
+        reader.number("connections", database.connections, 1, mostConnections, true);
+        const json::array* members = reader.list("members", true);
+        if (members && members->empty())
+            reader.fail("members", "must name at least one member");
+        if (auto fault = reader.finish())
+            return tl::unexpected(*fault);
+        for (std::size_t i = 0; i < members->size(); ++i) {
+            auto member = readMember(fmt::format("{}.members[{}]", what, i), members->at(i));
+            if (!member)
+                return tl::unexpected(member.error());
+            for (const Member& other : database.members) {
+                if (other.name == member->name || other.address == member->address)
+                    return tl::unexpected(Error { fmt::format("{}.members[{}]: stands twice", what, i) });
+            }
+            database.members.push_back(*member);
         }
-        database.members.push_back(*member);
+        return database;
     }
-    return database;
-}
 
-template <typename Record, typename Parser>
-std::optional<Error> place(std::map<std::string, Record>& records, const TableEntry& entry, const std::string& name,
-    Parser parser)
-{
-    if (entry.deleted) {
-        records.erase(name);
+    template <typename Record, typename Parser>
+    std::optional<Error> place(
+        std::map<std::string, Record>& records, const TableEntry& entry, const std::string& name, Parser parser)
+    {
+        if (entry.deleted) {
+            records.erase(name);
+            return std::nullopt;
+        }
+        auto record = parser(name, entry.value);
+        if (!record)
+            return record.error();
+        records[name] = std::move(*record);
         return std::nullopt;
     }
-    auto record = parser(name, entry.value);
-    if (!record)
-        return record.error();
-    records[name] = std::move(*record);
-    return std::nullopt;
-}
 
-std::optional<Error> placeEntry(Tables& tables, const TableEntry& entry)
-{
-    std::size_t slash = entry.key.find('/');
-    std::string kind = entry.key.substr(0, slash);
-    std::string name = slash == std::string::npos ? "" : entry.key.substr(slash + 1);
-    if (name.empty())
-        return Error { fmt::format("{}: must be KIND/NAME", entry.key) };
-    if (kind == "route")
-        return place(tables.routes, entry, name, parseRoute);
-    if (kind == "pool")
-        return place(tables.pools, entry, name, parsePool);
-    if (kind == "workspace")
-        return place(tables.workspaces, entry, name, parseWorkspace);
-    if (kind == "key")
-        return place(tables.keys, entry, name, parseKeyRecord);
-    if (kind == "instance")
-        return place(tables.instances, entry, name, parseInstanceOrder);
-    return Error { fmt::format("{}: {} is not a known kind of table", entry.key, kind) };
-}
+    std::optional<Error> placeEntry(Tables& tables, const TableEntry& entry)
+    {
+        std::size_t slash = entry.key.find('/');
+        std::string kind = entry.key.substr(0, slash);
+        std::string name = slash == std::string::npos ? "" : entry.key.substr(slash + 1);
+        if (name.empty())
+            return Error { fmt::format("{}: must be KIND/NAME", entry.key) };
+        if (kind == "route")
+            return place(tables.routes, entry, name, parseRoute);
+        if (kind == "pool")
+            return place(tables.pools, entry, name, parsePool);
+        if (kind == "workspace")
+            return place(tables.workspaces, entry, name, parseWorkspace);
+        if (kind == "key")
+            return place(tables.keys, entry, name, parseKeyRecord);
+        if (kind == "instance")
+            return place(tables.instances, entry, name, parseInstanceOrder);
+        return Error { fmt::format("{}: {} is not a known kind of table", entry.key, kind) };
+    }
 
 } // namespace
 
@@ -300,8 +300,8 @@
     return order;
 }
 
-Tables advanceTables(const Tables& before, std::int64_t revision, const std::vector<TableEntry>& entries,
-    std::vector<Error>& rejected)
+Tables advanceTables(
+    const Tables& before, std::int64_t revision, const std::vector<TableEntry>& entries, std::vector<Error>& rejected)
 {
     Tables after = before;
     after.revision = std::max(before.revision, revision);
--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -13,13 +13,13 @@
 
 namespace {
 
-constexpr std::uint32_t protocolVersion = 1;
-constexpr std::size_t sealBytes = 32;
-// Connections to peers that are kept open; the longest unused one closes first.
-constexpr std::size_t mostOpenPeers = 64;
-constexpr int sendQueueLength = 4096;
-constexpr int receiveQueueLength = 16384;
-constexpr std::int64_t mostMessageBytes = 80 << 20;
+    constexpr std::uint32_t protocolVersion = 1;
+    constexpr std::size_t sealBytes = 32;
+    // Connections to peers that are kept open; the longest unused one closes first.
+    constexpr std::size_t mostOpenPeers = 64;
+    constexpr int sendQueueLength = 4096;
+    constexpr int receiveQueueLength = 16384;
+    constexpr std::int64_t mostMessageBytes = 80 << 20;
 
 } // namespace
 
@@ -77,10 +77,7 @@
 {
 }
 
-PeerLink::~PeerLink()
-{
-    this->stop();
-}
+PeerLink::~PeerLink() { this->stop(); }
 
 std::string PeerLink::bind(const std::string& address)
 {
@@ -134,8 +131,8 @@
         wire::Envelope envelope;
         bool authentic = data.size() > sealBytes
             && equalConstantTime(data.substr(0, sealBytes), hmacSha256(data.substr(sealBytes), this->secret));
-        bool parsed = authentic
-            && envelope.ParseFromArray(data.data() + sealBytes, static_cast<int>(data.size() - sealBytes));
+        bool parsed
+            = authentic && envelope.ParseFromArray(data.data() + sealBytes, static_cast<int>(data.size() - sealBytes));
         if (parsed && envelope.version() == protocolVersion)
             this->handler(envelope);
         else
--- a/src/libpeer/wire_convert.cpp
+++ b/src/libpeer/wire_convert.cpp
@@ -7,67 +7,64 @@
 
 namespace {
 
-void writeValue(const std::optional<std::string>& value, wire::Parameter& out)
-{
-    if (value)
-        out.set_text(*value);
-    else
-        out.set_null(true);
-}
-
-std::optional<std::string> readValue(const wire::Parameter& value)
-{
-    return value.null() ? std::nullopt : std::optional(value.text());
-}
+    void writeValue(const std::optional<std::string>& value, wire::Parameter& out)
+    {
+        if (value)
+            out.set_text(*value);
+        else
+            out.set_null(true);
+    }
 
-void writePosition(const Position& position, wire::LogPosition& out)
-{
-    out.set_term(position.term);
-    out.set_lsn(position.lsn);
-}
+    std::optional<std::string> readValue(const wire::Parameter& value)
+    {
+        return value.null() ? std::nullopt : std::optional(value.text());
+    }
 
-Position readPosition(const wire::LogPosition& position)
-{
-    return { position.term(), position.lsn() };
-}
+    void writePosition(const Position& position, wire::LogPosition& out)
+    {
+        out.set_term(position.term);
+        out.set_lsn(position.lsn);
+    }
 
-wire::OutcomeKind writeOutcome(Outcome outcome)
-{
-    switch (outcome) {
-    case Outcome::Done:
-        return wire::DONE;
-    case Outcome::NotRun:
-        return wire::NOT_RUN;
-    case Outcome::Unknown:
-        break;
+    Position readPosition(const wire::LogPosition& position) { return { position.term(), position.lsn() }; }
+
+    wire::OutcomeKind writeOutcome(Outcome outcome)
+    {
+        switch (outcome) {
+        case Outcome::Done:
+            return wire::DONE;
+        case Outcome::NotRun:
+            return wire::NOT_RUN;
+        case Outcome::Unknown:
+            break;
+        }
+        return wire::UNKNOWN;
     }
-    return wire::UNKNOWN;
-}
 
-void writeResultSet(const ResultSet& result, wire::ResultSet& out)
-{
-    for (const std::string& column : result.columns)
-        out.add_columns(column);
-    for (const auto& row : result.rows) {
-        wire::Row& line = *out.add_rows();
-        for (const auto& value : row)
-            writeValue(value, *line.add_values());
+    void writeResultSet(const ResultSet& result, wire::ResultSet& out)
+    {
+        for (const std::string& column : result.columns)
+            out.add_columns(column);
+        for (const auto& row : result.rows) {
+            wire::Row& line = *out.add_rows();
+            for (const auto& value : row)
+                writeValue(value, *line.add_values());
+        }
+        out.set_affected(result.affected);
     }
-    out.set_affected(result.affected);
-}
 
-ResultSet readResultSet(const wire::ResultSet& message)
-{
-    ResultSet result;
-    result.columns.assign(message.columns().begin(), message.columns().end());
-    for (const wire::Row& line : message.rows()) {
-        auto& row = result.rows.emplace_back();
-        for (const wire::Parameter& value : line.values())
-            row.push_back(readValue(value));
+    ResultSet readResultSet(const wire::ResultSet& message)
+    {
+        ResultSet result;
+        result.columns.assign(message.columns().begin(), message.columns().end());
+        for (const wire::Row& line : message.rows()) {
+            auto& row = result.rows.emplace_back();
+            for (const wire::Parameter& value : line.values())
+                row.push_back(readValue(value));
+        }
+        result.affected = message.affected();
+        return result;
     }
-    result.affected = message.affected();
-    return result;
-}
 
 } // namespace
 
--- a/src/libplatform/platform_client.cpp
+++ b/src/libplatform/platform_client.cpp
@@ -16,96 +16,84 @@
 
 namespace {
 
-constexpr std::size_t mostIdleConnections = 4;
-constexpr std::uint64_t mostAnswerBytes = 64 << 20;
+    constexpr std::size_t mostIdleConnections = 4;
+    constexpr std::uint64_t mostAnswerBytes = 64 << 20;
 
-// The smallest key that is past all keys with the prefix, as etcd's range_end.
-std::string endOfPrefix(std::string prefix)
-{
-    if (!prefix.empty())
-        ++prefix.back();
-    return prefix;
-}
+    // The smallest key that is past all keys with the prefix, as etcd's range_end.
+    std::string endOfPrefix(std::string prefix)
+    {
+        if (!prefix.empty())
+            ++prefix.back();
+        return prefix;
+    }
 
-std::int64_t numberOf(const json::value& object, const char* name)
-{
-    const json::object* fields = object.if_object();
-    const json::value* value = fields ? fields->if_contains(name) : nullptr;
-    if (!value)
-        return 0;
-    if (value->is_string())
-        return std::strtoll(value->get_string().c_str(), nullptr, 10);
-    return value->is_int64() ? value->get_int64() : 0;
-}
+    std::int64_t numberOf(const json::value& object, const char* name)
+    {
+        const json::object* fields = object.if_object();
+        const json::value* value = fields ? fields->if_contains(name) : nullptr;
+        if (!value)
+            return 0;
+        if (value->is_string())
+            return std::strtoll(value->get_string().c_str(), nullptr, 10);
+        return value->is_int64() ? value->get_int64() : 0;
+    }
 
-std::string textOf(const json::value& object, const char* name)
-{
-    const json::object* fields = object.if_object();
-    const json::value* value = fields ? fields->if_contains(name) : nullptr;
-    return value && value->is_string() ? json::value_to<std::string>(*value) : "";
-}
+    std::string textOf(const json::value& object, const char* name)
+    {
+        const json::object* fields = object.if_object();
+        const json::value* value = fields ? fields->if_contains(name) : nullptr;
+        return value && value->is_string() ? json::value_to<std::string>(*value) : "";
+    }
 
-json::value memberOf(const json::value& object, const char* name)
-{
-    const json::object* fields = object.if_object();
-    const json::value* value = fields ? fields->if_contains(name) : nullptr;
-    return value ? *value : json::value();
-}
+    json::value memberOf(const json::value& object, const char* name)
+    {
+        const json::object* fields = object.if_object();
+        const json::value* value = fields ? fields->if_contains(name) : nullptr;
+        return value ? *value : json::value();
+    }
 
-json::array listOf(const json::value& object, const char* name)
-{
-    json::value list = memberOf(object, name);
-    return list.is_array() ? list.get_array() : json::array();
-}
+    json::array listOf(const json::value& object, const char* name)
+    {
+        json::value list = memberOf(object, name);
+        return list.is_array() ? list.get_array() : json::array();
+    }
 
-std::int64_t headerRevision(const json::value& answer)
-{
-    return numberOf(memberOf(answer, "header"), "revision");
-}
+    std::int64_t headerRevision(const json::value& answer) { return numberOf(memberOf(answer, "header"), "revision"); }
 
-KeyValue readKeyValue(const json::value& value)
-{
-    return { decodeBase64(textOf(value, "key")), decodeBase64(textOf(value, "value")),
-        numberOf(value, "mod_revision"), false };
-}
+    KeyValue readKeyValue(const json::value& value)
+    {
+        return { decodeBase64(textOf(value, "key")), decodeBase64(textOf(value, "value")),
+            numberOf(value, "mod_revision"), false };
+    }
 
-// The service did nothing.
-PlatformError notSent(std::string message)
-{
-    return { false, std::move(message) };
-}
+    // The service did nothing.
+    PlatformError notSent(std::string message) { return { false, std::move(message) }; }
 
-// The service may have done what it was asked.
-PlatformError maybeRun(std::string message)
-{
-    return { true, std::move(message) };
-}
+    // The service may have done what it was asked.
+    PlatformError maybeRun(std::string message) { return { true, std::move(message) }; }
 
-tl::expected<json::value, PlatformError> parseAnswer(const PlatformResult<std::string>& text)
-{
-    if (!text)
-        return tl::unexpected(text.error());
-    json::error_code error;
-    json::value answer = json::parse(*text, error);
-    if (error || !answer.is_object())
-        return tl::unexpected(maybeRun("the platform's service answered with something else than JSON"));
-    return answer;
-}
+    tl::expected<json::value, PlatformError> parseAnswer(const PlatformResult<std::string>& text)
+    {
+        if (!text)
+            return tl::unexpected(text.error());
+        json::error_code error;
+        json::value answer = json::parse(*text, error);
+        if (error || !answer.is_object())
+            return tl::unexpected(maybeRun("the platform's service answered with something else than JSON"));
+        return answer;
+    }
 
-http::request<http::string_body> makeRequest(const std::string& address, const std::string& path, std::string body)
-{
-    http::request<http::string_body> request(http::verb::post, path, 11);
-    request.set(http::field::host, address);
-    request.set(http::field::content_type, "application/json");
-    request.body() = std::move(body);
-    request.prepare_payload();
-    return request;
-}
+    http::request<http::string_body> makeRequest(const std::string& address, const std::string& path, std::string body)
+    {
+        http::request<http::string_body> request(http::verb::post, path, 11);
+        request.set(http::field::host, address);
+        request.set(http::field::content_type, "application/json");
+        request.body() = std::move(body);
+        request.prepare_payload();
+        return request;
+    }
 
-auto asResult()
-{
-    return asio::as_tuple(asio::use_awaitable);
-}
+    auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
 } // namespace
 
@@ -196,8 +184,8 @@
 {
     std::string encodedKey = encodeBase64(key);
     json::array comparisons;
-    comparisons.push_back(json::object {
-        { "key", encodedKey }, { "target", "MOD" }, { "result", "EQUAL" }, { "mod_revision", fmt::format("{}", expected) } });
+    comparisons.push_back(json::object { { "key", encodedKey }, { "target", "MOD" }, { "result", "EQUAL" },
+        { "mod_revision", fmt::format("{}", expected) } });
     for (const std::string& name : required)
         comparisons.push_back(json::object {
             { "key", encodeBase64(name) }, { "target", "VERSION" }, { "result", "GREATER" }, { "version", "0" } });
@@ -268,7 +256,8 @@
         co_return notSent("cannot reach the platform's service: " + connectError.message());
     json::object create { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) },
         { "start_revision", fmt::format("{}", fromRevision) }, { "progress_notify", true } };
-    auto request = makeRequest(this->address, "/v3/watch", json::serialize(json::object { { "create_request", create } }));
+    auto request
+        = makeRequest(this->address, "/v3/watch", json::serialize(json::object { { "create_request", create } }));
     auto [writeError, written] = co_await http::async_write(connection.stream, request, asResult());
     if (writeError)
         co_return notSent(writeError.message());
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -13,23 +13,23 @@
 
 namespace {
 
-constexpr Milliseconds refillInterval { 10 };
-// Longest wait of a request for a token, and between two looks.
-constexpr Milliseconds longestWait { 150 };
-constexpr Milliseconds waitStep { 5 };
-// Requests of one workspace that may wait here at once.
-constexpr std::uint32_t mostWaiting = 256;
-constexpr Milliseconds loanDuration { 2000 };
-// A loan that ends within this time is already replaced.
-constexpr Milliseconds renewAhead { 400 };
-// Least time between two requests to the same lender, and after one that had nothing to spare.
-constexpr Milliseconds askInterval { 50 };
-constexpr Milliseconds askAgainAfterNothing { 250 };
-// Lenders that are asked at once.
-constexpr std::size_t mostAsked = 3;
-constexpr double demandTimeConstantSeconds = 0.5;
-// A borrower holds this many times what its demand takes.
-constexpr double borrowMargin = 1.25;
+    constexpr Milliseconds refillInterval { 10 };
+    // Longest wait of a request for a token, and between two looks.
+    constexpr Milliseconds longestWait { 150 };
+    constexpr Milliseconds waitStep { 5 };
+    // Requests of one workspace that may wait here at once.
+    constexpr std::uint32_t mostWaiting = 256;
+    constexpr Milliseconds loanDuration { 2000 };
+    // A loan that ends within this time is already replaced.
+    constexpr Milliseconds renewAhead { 400 };
+    // Least time between two requests to the same lender, and after one that had nothing to spare.
+    constexpr Milliseconds askInterval { 50 };
+    constexpr Milliseconds askAgainAfterNothing { 250 };
+    // Lenders that are asked at once.
+    constexpr std::size_t mostAsked = 3;
+    constexpr double demandTimeConstantSeconds = 0.5;
+    // A borrower holds this many times what its demand takes.
+    constexpr double borrowMargin = 1.25;
 
 } // namespace
 
@@ -144,7 +144,8 @@
         }
         next[name] = account->purse;
     }
-    // The account of a deleted workspace stays: units that it lent must not be counted anew if the workspace comes back.
+    // The account of a deleted workspace stays: units that it lent must not be counted anew if the workspace comes
+    // back.
     if (next != *this->purses.read())
         this->purses.replace(next);
     this->updateSlots(this->slots, this->slotsValidUntil, this->slotCount);
@@ -164,16 +165,16 @@
         for (std::uint32_t slot : account->shareSlots)
             mine += held.count(slot);
         std::uint64_t units = mine * (unitsPerWorkspace / account->shareSlots.size());
-        this->change(*account, now, [&](ShareBucket& bucket, std::int64_t level) {
-            return bucket.setHome(units, validUntil, level);
-        });
+        this->change(*account, now,
+            [&](ShareBucket& bucket, std::int64_t level) { return bucket.setHome(units, validUntil, level); });
     }
 }
 
 void Admission::start()
 {
     auto self = this->shared_from_this();
-    asio::co_spawn(this->control, [self] { return self->tick(); }, asio::detached);
+    asio::co_spawn(
+        this->control, [self] { return self->tick(); }, asio::detached);
 }
 
 asio::awaitable<void> Admission::tick()
@@ -272,21 +273,21 @@
     if (found == this->accounts.end())
         return;
     Account& account = *found->second;
-    auto asked = std::find_if(account.asked.begin(), account.asked.end(),
-        [&](const auto& item) { return item.second.id == reply.id(); });
+    auto asked = std::find_if(
+        account.asked.begin(), account.asked.end(), [&](const auto& item) { return item.second.id == reply.id(); });
     // Doubled and forgotten answers are not taken in.
     if (asked == account.asked.end())
         return;
     TimePoint now = Clock::now();
     if (!reply.units())
         account.askAgainAt[asked->first] = now + askAgainAfterNothing;
-    ShareLoan loan { reply.units(), static_cast<std::int64_t>(reply.tokens_milli()), Milliseconds(reply.duration_ms()) };
+    ShareLoan loan { reply.units(), static_cast<std::int64_t>(reply.tokens_milli()),
+        Milliseconds(reply.duration_ms()) };
     TimePoint askedAt = asked->second.at;
     account.asked.erase(asked);
     if (loan.units)
-        this->change(account, now, [&](ShareBucket& bucket, std::int64_t level) {
-            return bucket.borrow(askedAt, now, loan, level);
-        });
+        this->change(account, now,
+            [&](ShareBucket& bucket, std::int64_t level) { return bucket.borrow(askedAt, now, loan, level); });
 }
 
 } // namespace catkinlock
--- a/src/libserver/config_follower.cpp
+++ b/src/libserver/config_follower.cpp
@@ -14,15 +14,15 @@
 
 namespace {
 
-constexpr Milliseconds followInterval { 250 };
-constexpr Milliseconds watchSilence { 60000 };
-constexpr Milliseconds confirmInterval { 1000 };
-// Time for a watch to deliver an edit before a relay reads the tables itself.
-constexpr Milliseconds deliveryTime { 500 };
-// Pauses between own reads of the platform, while nobody confirms the tables. They double, so that a fleet that has
-// lost the platform does not storm it.
-constexpr Milliseconds firstReadPause { 500 };
-constexpr Milliseconds longestReadPause { 30000 };
+    constexpr Milliseconds followInterval { 250 };
+    constexpr Milliseconds watchSilence { 60000 };
+    constexpr Milliseconds confirmInterval { 1000 };
+    // Time for a watch to deliver an edit before a relay reads the tables itself.
+    constexpr Milliseconds deliveryTime { 500 };
+    // Pauses between own reads of the platform, while nobody confirms the tables. They double, so that a fleet that has
+    // lost the platform does not storm it.
+    constexpr Milliseconds firstReadPause { 500 };
+    constexpr Milliseconds longestReadPause { 30000 };
 
 } // namespace
 
@@ -39,8 +39,10 @@
 void ConfigFollower::start()
 {
     auto self = this->shared_from_this();
-    asio::co_spawn(this->context, [self] { return self->follow(); }, asio::detached);
-    asio::co_spawn(this->context, [self] { return self->confirm(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [self] { return self->follow(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [self] { return self->confirm(); }, asio::detached);
 }
 
 asio::awaitable<void> ConfigFollower::sleep(Milliseconds time)
@@ -118,8 +120,7 @@
         if (!changes.empty())
             self->accept(revision, self->entriesOf(changes));
     };
-    PlatformError end
-        = co_await this->platform->watch(tablePrefix, this->revision() + 1, watchSilence, onAnswer);
+    PlatformError end = co_await this->platform->watch(tablePrefix, this->revision() + 1, watchSilence, onAnswer);
     if (!this->stopped)
         writeLog(LogLevel::Warning, "watch_ended", { { "detail", end.message } });
 }
--- a/src/libserver/config_follower.h
+++ b/src/libserver/config_follower.h
@@ -20,9 +20,9 @@
 /// Key that every edit of the tables writes too, so that one small read tells whether the tables have changed.
 inline constexpr const char* tablesEditedKey = "/catkinlock/tables-edited";
 
-/// Keeps this instance's tables at the newest accepted revision. A few instances (relays) watch the platform; the others
-/// hear from peers, and read the platform themselves only at the start or when nobody has confirmed their tables for
-/// long. On the control thread.
+/// Keeps this instance's tables at the newest accepted revision. A few instances (relays) watch the platform; the
+/// others hear from peers, and read the platform themselves only at the start or when nobody has confirmed their tables
+/// for long. On the control thread.
 class ConfigFollower : public std::enable_shared_from_this<ConfigFollower> {
 public:
     struct Hooks {
--- a/src/libserver/config_freshness.h
+++ b/src/libserver/config_freshness.h
@@ -9,9 +9,9 @@
 /// any.
 ///
 /// A withdrawal must stop a key within seconds. While the tables are confirmed to be that fresh, there is nothing to
-/// decide. When they are not, either the platform is out, and then no withdrawal can be accepted, or this instance is cut
-/// off, and then one may have been. An instance that hears its peers and sees most of the fleet alive takes it for an
-/// outage and goes on; one that does not refuses keys.
+/// decide. When they are not, either the platform is out, and then no withdrawal can be accepted, or this instance is
+/// cut off, and then one may have been. An instance that hears its peers and sees most of the fleet alive takes it for
+/// an outage and goes on; one that does not refuses keys.
 class ConfigFreshness {
 public:
     /// Longest time for which tables count as fresh without a new confirmation.
--- a/src/libserver/forwarder.cpp
+++ b/src/libserver/forwarder.cpp
@@ -12,18 +12,19 @@
 
 namespace {
 
-// Time for one attempt at a peer before another gateway is tried.
-constexpr Milliseconds attemptTimeout { 1000 };
-constexpr Milliseconds retryPause { 20 };
-// The peer's answer arrives a little after the deadline that the peer keeps to.
-constexpr Milliseconds replyGrace { 50 };
+    // Time for one attempt at a peer before another gateway is tried.
+    constexpr Milliseconds attemptTimeout { 1000 };
+    constexpr Milliseconds retryPause { 20 };
+    // The peer's answer arrives a little after the deadline that the peer keeps to.
+    constexpr Milliseconds replyGrace { 50 };
 
 } // namespace
 
 struct Forwarder::Pending {
     explicit Pending(asio::io_context& context)
         : timer(context)
-        , result(tl::unexpected(unknownOutcome("gateway_silent", "the instance that serves the database did not answer")))
+        , result(
+              tl::unexpected(unknownOutcome("gateway_silent", "the instance that serves the database did not answer")))
     {
     }
     asio::steady_timer timer;
@@ -95,7 +96,8 @@
     this->pending[id] = entry;
     if (!this->link->send(address, envelope)) {
         this->pending.erase(id);
-        co_return tl::unexpected(notRun("target_unreachable", "the instance that serves the database can't be reached"));
+        co_return tl::unexpected(
+            notRun("target_unreachable", "the instance that serves the database can't be reached"));
     }
     entry->timer.expires_at(end + replyGrace);
     co_await entry->timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/libserver/forwarder.h
+++ b/src/libserver/forwarder.h
@@ -16,8 +16,8 @@
 
 namespace catkinlock {
 
-/// Takes an admitted request to a gateway of its database, here or at a peer, and retries elsewhere what may be retried.
-/// Also serves the requests that peers send here.
+/// Takes an admitted request to a gateway of its database, here or at a peer, and retries elsewhere what may be
+/// retried. Also serves the requests that peers send here.
 class Forwarder : public std::enable_shared_from_this<Forwarder> {
 public:
     Forwarder(boost::asio::io_context& control, boost::asio::any_io_executor requests, std::shared_ptr<PeerLink>,
--- a/src/libserver/gossip.cpp
+++ b/src/libserver/gossip.cpp
@@ -11,14 +11,14 @@
 
 namespace {
 
-constexpr Milliseconds pingInterval { 500 };
-constexpr Milliseconds pingTimeout { 1000 };
-constexpr std::size_t newsPerMessage = 6;
-constexpr std::size_t pushFanout = 4;
-// Differing digests in a row, with no news to send, that make an instance ask for a peer's whole picture.
-constexpr unsigned mismatchesUntilRequest = 4;
-constexpr Milliseconds fullRequestInterval { 10000 };
-constexpr std::chrono::hours deadLifetime { 1 };
+    constexpr Milliseconds pingInterval { 500 };
+    constexpr Milliseconds pingTimeout { 1000 };
+    constexpr std::size_t newsPerMessage = 6;
+    constexpr std::size_t pushFanout = 4;
+    // Differing digests in a row, with no news to send, that make an instance ask for a peer's whole picture.
+    constexpr unsigned mismatchesUntilRequest = 4;
+    constexpr Milliseconds fullRequestInterval { 10000 };
+    constexpr std::chrono::hours deadLifetime { 1 };
 
 } // namespace
 
@@ -39,7 +39,8 @@
 void Gossip::start()
 {
     auto self = this->shared_from_this();
-    asio::co_spawn(this->context, [self] { return self->run(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [self] { return self->run(); }, asio::detached);
 }
 
 asio::awaitable<void> Gossip::run()
--- a/src/libserver/gossip.h
+++ b/src/libserver/gossip.h
@@ -18,8 +18,8 @@
 namespace catkinlock {
 
 /// Spreads the membership and the newest revision of the tables between instances. Each period an instance asks one
-/// random peer for a sign of life, with bounded news on the message; a new revision goes at once to a few peers, each of
-/// which passes it on once. On the control thread.
+/// random peer for a sign of life, with bounded news on the message; a new revision goes at once to a few peers, each
+/// of which passes it on once. On the control thread.
 class Gossip : public std::enable_shared_from_this<Gossip> {
 public:
     struct Hooks {
--- a/src/libserver/http_server.cpp
+++ b/src/libserver/http_server.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Pause after the system refused a connection, as when it is out of descriptors.
-constexpr Milliseconds acceptPause { 20 };
+    // Pause after the system refused a connection, as when it is out of descriptors.
+    constexpr Milliseconds acceptPause { 20 };
 
 } // namespace
 
@@ -48,7 +48,8 @@
 
 void HttpServer::start()
 {
-    asio::co_spawn(this->acceptor->socket.get_executor(), [self = this->shared_from_this()] { return self->accept(); },
+    asio::co_spawn(
+        this->acceptor->socket.get_executor(), [self = this->shared_from_this()] { return self->accept(); },
         asio::detached);
 }
 
@@ -66,7 +67,8 @@
     while (this->acceptor->socket.is_open()) {
         // Each session has a strand of its own, so that its timer and its stream don't race.
         auto strand = asio::make_strand(this->context);
-        auto [error, socket] = co_await this->acceptor->socket.async_accept(strand, asio::as_tuple(asio::use_awaitable));
+        auto [error, socket]
+            = co_await this->acceptor->socket.async_accept(strand, asio::as_tuple(asio::use_awaitable));
         if (error == asio::error::operation_aborted)
             co_return;
         if (error) {
@@ -75,7 +77,8 @@
             continue;
         }
         auto session = std::make_shared<HttpSession>(std::move(socket), this->shared);
-        asio::co_spawn(strand, [session] { return session->run(); }, asio::detached);
+        asio::co_spawn(
+            strand, [session] { return session->run(); }, asio::detached);
     }
 }
 
--- a/src/libserver/http_session.cpp
+++ b/src/libserver/http_session.cpp
@@ -16,146 +16,146 @@
 
 namespace {
 
-using HttpRequest = http::request<http::string_body>;
-using HttpResponse = http::response<http::string_body>;
-
-constexpr const char* routePrefix = "/v1/";
-constexpr const char* transactionSuffix = "/transaction";
-constexpr const char* settleSuffix = "/settle";
-constexpr std::size_t mostKeyBytes = 256;
-
-struct CodeStatus {
-    std::string_view code;
-    http::status status;
-};
-
-constexpr std::array<CodeStatus, 13> statusOfCodes { {
-    { "bad_request", http::status::bad_request },
-    { "bad_session", http::status::bad_request },
-    { "statement_failed", http::status::unprocessable_entity },
-    { "answer_too_large", http::status::unprocessable_entity },
-    { "key_missing", http::status::unauthorized },
-    { "key_refused", http::status::unauthorized },
-    { "route_refused", http::status::forbidden },
-    { "foreign_session", http::status::forbidden },
-    { "unknown_route", http::status::not_found },
-    { "key_reused", http::status::conflict },
-    { "settled_not_run", http::status::conflict },
-    { "rate_exceeded", http::status::too_many_requests },
-    { "body_too_large", http::status::payload_too_large },
-} };
-
-http::status statusOf(const Refusal& refusal)
-{
-    if (refusal.outcome == Outcome::Unknown)
-        return http::status::gateway_timeout;
-    for (const CodeStatus& entry : statusOfCodes) {
-        if (entry.code == refusal.code)
-            return entry.status;
+    using HttpRequest = http::request<http::string_body>;
+    using HttpResponse = http::response<http::string_body>;
+
+    constexpr const char* routePrefix = "/v1/";
+    constexpr const char* transactionSuffix = "/transaction";
+    constexpr const char* settleSuffix = "/settle";
+    constexpr std::size_t mostKeyBytes = 256;
+
+    struct CodeStatus {
+        std::string_view code;
+        http::status status;
+    };
+
+    constexpr std::array<CodeStatus, 13> statusOfCodes { {
+        { "bad_request", http::status::bad_request },
+        { "bad_session", http::status::bad_request },
+        { "statement_failed", http::status::unprocessable_entity },
+        { "answer_too_large", http::status::unprocessable_entity },
+        { "key_missing", http::status::unauthorized },
+        { "key_refused", http::status::unauthorized },
+        { "route_refused", http::status::forbidden },
+        { "foreign_session", http::status::forbidden },
+        { "unknown_route", http::status::not_found },
+        { "key_reused", http::status::conflict },
+        { "settled_not_run", http::status::conflict },
+        { "rate_exceeded", http::status::too_many_requests },
+        { "body_too_large", http::status::payload_too_large },
+    } };
+
+    http::status statusOf(const Refusal& refusal)
+    {
+        if (refusal.outcome == Outcome::Unknown)
+            return http::status::gateway_timeout;
+        for (const CodeStatus& entry : statusOfCodes) {
+            if (entry.code == refusal.code)
+                return entry.status;
+        }
+        return http::status::service_unavailable;
     }
-    return http::status::service_unavailable;
-}
 
-HttpResponse makeResponse(http::status status, const char* type, std::string body)
-{
-    HttpResponse response(status, 11);
-    response.set(http::field::content_type, type);
-    response.body() = std::move(body);
-    return response;
-}
+    HttpResponse makeResponse(http::status status, const char* type, std::string body)
+    {
+        HttpResponse response(status, 11);
+        response.set(http::field::content_type, type);
+        response.body() = std::move(body);
+        return response;
+    }
 
-HttpResponse refusalResponse(const Refusal& refusal)
-{
-    http::status status = statusOf(refusal);
-    json::object problem { { "type", "about:blank" }, { "title", refusal.code },
-        { "status", static_cast<unsigned>(status) }, { "detail", refusal.message }, { "code", refusal.code },
-        { "outcome", outcomeName(refusal.outcome) } };
-    HttpResponse response = makeResponse(status, "application/problem+json", json::serialize(problem));
-    if (status == http::status::too_many_requests || status == http::status::service_unavailable)
-        response.set(http::field::retry_after, "1");
-    return response;
-}
+    HttpResponse refusalResponse(const Refusal& refusal)
+    {
+        http::status status = statusOf(refusal);
+        json::object problem { { "type", "about:blank" }, { "title", refusal.code },
+            { "status", static_cast<unsigned>(status) }, { "detail", refusal.message }, { "code", refusal.code },
+            { "outcome", outcomeName(refusal.outcome) } };
+        HttpResponse response = makeResponse(status, "application/problem+json", json::serialize(problem));
+        if (status == http::status::too_many_requests || status == http::status::service_unavailable)
+            response.set(http::field::retry_after, "1");
+        return response;
+    }
 
-HttpResponse replyResponse(const CallerReply& done)
-{
-    std::string body = "{\"outcome\":\"done\",\"repeated\":";
-    body += done.reply.repeated ? "true" : "false";
-    body += ",\"session\":" + json::serialize(json::string(done.sessionToken));
-    body += ",\"from_replica\":";
-    body += done.reply.fromReplica ? "true" : "false";
-    body += ",\"results\":" + writeResults(done.reply.results) + "}";
-    HttpResponse response = makeResponse(http::status::ok, "application/json", std::move(body));
-    if (!done.sessionToken.empty())
-        response.set("Catkinlock-Session", done.sessionToken);
-    return response;
-}
+    HttpResponse replyResponse(const CallerReply& done)
+    {
+        std::string body = "{\"outcome\":\"done\",\"repeated\":";
+        body += done.reply.repeated ? "true" : "false";
+        body += ",\"session\":" + json::serialize(json::string(done.sessionToken));
+        body += ",\"from_replica\":";
+        body += done.reply.fromReplica ? "true" : "false";
+        body += ",\"results\":" + writeResults(done.reply.results) + "}";
+        HttpResponse response = makeResponse(http::status::ok, "application/json", std::move(body));
+        if (!done.sessionToken.empty())
+            response.set("Catkinlock-Session", done.sessionToken);
+        return response;
+    }
 
-std::string headerOf(const HttpRequest& request, std::string_view name)
-{
-    auto found = request.find(beast::string_view(name.data(), name.size()));
-    return found == request.end() ? "" : std::string(found->value());
-}
+    std::string headerOf(const HttpRequest& request, std::string_view name)
+    {
+        auto found = request.find(beast::string_view(name.data(), name.size()));
+        return found == request.end() ? "" : std::string(found->value());
+    }
 
-tl::unexpected<Refusal> badRequest(std::string message)
-{
-    return tl::unexpected(notRun("bad_request", std::move(message)));
-}
+    tl::unexpected<Refusal> badRequest(std::string message)
+    {
+        return tl::unexpected(notRun("bad_request", std::move(message)));
+    }
 
-// Takes the route out of the path: /v1/ROUTE/transaction or /v1/ROUTE/settle.
-tl::expected<CallerRequest, Refusal> readPath(const HttpRequest& request)
-{
-    std::string path(request.target());
-    CallerRequest caller;
-    caller.settle = path.ends_with(settleSuffix);
-    std::string_view suffix = caller.settle ? settleSuffix : transactionSuffix;
-    std::string_view prefix = routePrefix;
-    bool fits = path.starts_with(prefix) && path.ends_with(suffix) && path.size() > prefix.size() + suffix.size();
-    if (!fits)
-        return badRequest("the path must be /v1/ROUTE/transaction or /v1/ROUTE/settle");
-    if (request.method() != http::verb::post)
-        return badRequest("the method must be POST");
-    caller.route = path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
-    return caller;
-}
+    // Takes the route out of the path: /v1/ROUTE/transaction or /v1/ROUTE/settle.
+    tl::expected<CallerRequest, Refusal> readPath(const HttpRequest& request)
+    {
+        std::string path(request.target());
+        CallerRequest caller;
+        caller.settle = path.ends_with(settleSuffix);
+        std::string_view suffix = caller.settle ? settleSuffix : transactionSuffix;
+        std::string_view prefix = routePrefix;
+        bool fits = path.starts_with(prefix) && path.ends_with(suffix) && path.size() > prefix.size() + suffix.size();
+        if (!fits)
+            return badRequest("the path must be /v1/ROUTE/transaction or /v1/ROUTE/settle");
+        if (request.method() != http::verb::post)
+            return badRequest("the method must be POST");
+        caller.route = path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+        return caller;
+    }
 
-tl::expected<CallerRequest, Refusal> readHeaders(const HttpRequest& request, CallerRequest caller)
-{
-    std::string authorization = headerOf(request, "Authorization");
-    std::string_view scheme = "Bearer ";
-    if (!authorization.empty() && !authorization.starts_with(scheme))
-        return badRequest("Authorization must be Bearer KEY");
-    if (!authorization.empty())
-        caller.key = authorization.substr(scheme.size());
-    caller.sessionToken = headerOf(request, "Catkinlock-Session");
-    caller.idempotencyKey = headerOf(request, "Idempotency-Key");
-    if (caller.idempotencyKey.size() > mostKeyBytes)
-        return badRequest("Idempotency-Key must have at most 256 bytes");
-    std::string timeout = headerOf(request, "Catkinlock-Timeout-Ms");
-    if (!timeout.empty()) {
-        std::uint32_t milliseconds = 0;
-        auto [end, error] = std::from_chars(timeout.data(), timeout.data() + timeout.size(), milliseconds);
-        if (error != std::errc() || end != timeout.data() + timeout.size())
-            return badRequest("Catkinlock-Timeout-Ms must be a whole number of milliseconds");
-        caller.timeoutMs = milliseconds;
+    tl::expected<CallerRequest, Refusal> readHeaders(const HttpRequest& request, CallerRequest caller)
+    {
+        std::string authorization = headerOf(request, "Authorization");
+        std::string_view scheme = "Bearer ";
+        if (!authorization.empty() && !authorization.starts_with(scheme))
+            return badRequest("Authorization must be Bearer KEY");
+        if (!authorization.empty())
+            caller.key = authorization.substr(scheme.size());
+        caller.sessionToken = headerOf(request, "Catkinlock-Session");
+        caller.idempotencyKey = headerOf(request, "Idempotency-Key");
+        if (caller.idempotencyKey.size() > mostKeyBytes)
+            return badRequest("Idempotency-Key must have at most 256 bytes");
+        std::string timeout = headerOf(request, "Catkinlock-Timeout-Ms");
+        if (!timeout.empty()) {
+            std::uint32_t milliseconds = 0;
+            auto [end, error] = std::from_chars(timeout.data(), timeout.data() + timeout.size(), milliseconds);
+            if (error != std::errc() || end != timeout.data() + timeout.size())
+                return badRequest("Catkinlock-Timeout-Ms must be a whole number of milliseconds");
+            caller.timeoutMs = milliseconds;
+        }
+        return caller;
     }
-    return caller;
-}
 
-tl::expected<CallerRequest, Refusal> readBody(const HttpRequest& request, CallerRequest caller)
-{
-    if (caller.settle && request.body().empty())
+    tl::expected<CallerRequest, Refusal> readBody(const HttpRequest& request, CallerRequest caller)
+    {
+        if (caller.settle && request.body().empty())
+            return caller;
+        if (auto parsed = parseCallerBody(request.body(), caller); !parsed)
+            return badRequest(parsed.error().message);
         return caller;
-    if (auto parsed = parseCallerBody(request.body(), caller); !parsed)
-        return badRequest(parsed.error().message);
-    return caller;
-}
+    }
 
-tl::expected<CallerRequest, Refusal> readCaller(const HttpRequest& request)
-{
-    return readPath(request)
-        .and_then([&](CallerRequest caller) { return readHeaders(request, std::move(caller)); })
-        .and_then([&](CallerRequest caller) { return readBody(request, std::move(caller)); });
-}
+    tl::expected<CallerRequest, Refusal> readCaller(const HttpRequest& request)
+    {
+        return readPath(request)
+            .and_then([&](CallerRequest caller) { return readHeaders(request, std::move(caller)); })
+            .and_then([&](CallerRequest caller) { return readBody(request, std::move(caller)); });
+    }
 
 } // namespace
 
@@ -177,10 +177,7 @@
     this->stream->tcp.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
-HttpSession::~HttpSession()
-{
-    --this->context->sessions;
-}
+HttpSession::~HttpSession() { --this->context->sessions; }
 
 asio::awaitable<void> HttpSession::run()
 {
@@ -197,8 +194,8 @@
     parser->header_limit(this->context->limits.headerBytes);
     parser->body_limit(this->context->limits.bodyBytes);
     this->stream->tcp.expires_after(this->context->limits.idle);
-    auto [readError, size]
-        = co_await http::async_read(this->stream->tcp, this->stream->buffer, *parser, asio::as_tuple(asio::use_awaitable));
+    auto [readError, size] = co_await http::async_read(
+        this->stream->tcp, this->stream->buffer, *parser, asio::as_tuple(asio::use_awaitable));
     bool tooLarge = readError == http::error::body_limit || readError == http::error::header_limit;
     bool malformed = readError.category() == make_error_code(http::error::bad_method).category();
     if (readError && (readError == http::error::end_of_stream || (!tooLarge && !malformed)))
@@ -208,8 +205,9 @@
     HttpResponse response;
     bool keepAlive = !readError;
     if (readError)
-        response = refusalResponse(tooLarge ? notRun("body_too_large", "the request exceeds the limits of this instance")
-                                            : notRun("bad_request", "malformed HTTP: " + readError.message()));
+        response
+            = refusalResponse(tooLarge ? notRun("body_too_large", "the request exceeds the limits of this instance")
+                                       : notRun("bad_request", "malformed HTTP: " + readError.message()));
     else {
         HttpRequest request = parser->release();
         parser.reset();
@@ -226,7 +224,8 @@
                 outcome = co_await this->context->pipeline->run(std::move(*caller));
             const CallerResult& result = outcome.result;
             response = result ? replyResponse(*result) : refusalResponse(result.error());
-            this->context->observe(route, outcome.workspace, result ? nullptr : &result.error(), Clock::now() - startedAt);
+            this->context->observe(
+                route, outcome.workspace, result ? nullptr : &result.error(), Clock::now() - startedAt);
         }
     }
     keepAlive = keepAlive && !this->context->closing;
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -28,27 +28,24 @@
 
 namespace {
 
-constexpr const char* instanceListPrefix = "/platform/instances/";
-constexpr const char* relayName = "configuration";
-constexpr std::uint32_t relayCount = 3;
-constexpr Milliseconds platformTimeout { 2000 };
-constexpr Milliseconds houseKeepingInterval { 500 };
-constexpr Milliseconds firstListInterval { 1000 };
-constexpr Milliseconds longestListInterval { 60000 };
-// Time for callers' balancer and for peers to learn that the instance leaves, before it stops to accept.
-constexpr Milliseconds unlistTime { 1500 };
-constexpr Milliseconds drainStep { 20 };
-
-std::uint64_t newIncarnation()
-{
-    auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
-}
+    constexpr const char* instanceListPrefix = "/platform/instances/";
+    constexpr const char* relayName = "configuration";
+    constexpr std::uint32_t relayCount = 3;
+    constexpr Milliseconds platformTimeout { 2000 };
+    constexpr Milliseconds houseKeepingInterval { 500 };
+    constexpr Milliseconds firstListInterval { 1000 };
+    constexpr Milliseconds longestListInterval { 60000 };
+    // Time for callers' balancer and for peers to learn that the instance leaves, before it stops to accept.
+    constexpr Milliseconds unlistTime { 1500 };
+    constexpr Milliseconds drainStep { 20 };
+
+    std::uint64_t newIncarnation()
+    {
+        auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+    }
 
-double processCpuSeconds()
-{
-    return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
-}
+    double processCpuSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
 
 } // namespace
 
@@ -132,11 +129,11 @@
 
 void Instance::Parts::wire()
 {
-    this->admission = std::make_shared<Admission>(
-        this->control, this->requests.get_executor(), this->link, this->membership);
+    this->admission
+        = std::make_shared<Admission>(this->control, this->requests.get_executor(), this->link, this->membership);
     this->config = std::make_shared<ConfigFollower>(this->control, this->platform, this->tables, this->freshness,
-        ConfigFollower::Hooks { [this](const Tables& newTables) { this->tablesChanged(newTables); },
-            [this] { return this->isRelay(); } });
+        ConfigFollower::Hooks {
+            [this](const Tables& newTables) { this->tablesChanged(newTables); }, [this] { return this->isRelay(); } });
     this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform,
         SlotKeeper::Options { this->settings.slots, this->settings.slotLeaseSeconds, this->settings.name,
             this->membership->self().address },
@@ -148,16 +145,15 @@
             } });
     this->forwarder = std::make_shared<Forwarder>(
         this->control, this->requests.get_executor(), this->link, this->registry, this->routing);
-    this->gossip = std::make_shared<Gossip>(this->control, this->link, this->membership, this->config,
-        this->freshness, Gossip::Hooks { [this] { this->membershipChanged(); } });
+    this->gossip = std::make_shared<Gossip>(this->control, this->link, this->membership, this->config, this->freshness,
+        Gossip::Hooks { [this] { this->membershipChanged(); } });
     this->http->pipeline = std::make_shared<RequestPipeline>(RequestPipeline::Parts { this->tables, this->admission,
         this->freshness, this->forwarder, this->settings.fleetSecret, Milliseconds(this->settings.requestTimeoutMs) });
-    this->http->limits = { this->settings.headerBytes, this->settings.bodyBytes,
-        std::chrono::seconds(this->settings.idleSeconds) };
-    this->http->observe = [level = this->serviceLevel](const std::string& route, const std::string& workspace,
-                              const Refusal* refusal, Duration latency) {
-        level->observe(route, workspace, refusal, latency);
-    };
+    this->http->limits
+        = { this->settings.headerBytes, this->settings.bodyBytes, std::chrono::seconds(this->settings.idleSeconds) };
+    this->http->observe
+        = [level = this->serviceLevel](const std::string& route, const std::string& workspace, const Refusal* refusal,
+              Duration latency) { level->observe(route, workspace, refusal, latency); };
     this->http->page = [this](std::string path) { return this->page(std::move(path)); };
     this->admission->updateSlots({}, Clock::now(), this->settings.slots);
     this->publishRouting();
@@ -254,10 +250,7 @@
     this->membershipChanged();
 }
 
-void Instance::Parts::membershipChanged()
-{
-    this->publishRouting();
-}
+void Instance::Parts::membershipChanged() { this->publishRouting(); }
 
 void Instance::Parts::publishRouting()
 {
@@ -397,8 +390,8 @@
     json::array databases;
     auto gateways = this->registry->all();
     for (const auto& [name, gateway] : *gateways)
-        databases.push_back(json::object { { "name", name }, { "term", gateway->term() },
-            { "primary_reached", gateway->reachesPrimary() } });
+        databases.push_back(json::object {
+            { "name", name }, { "term", gateway->term() }, { "primary_reached", gateway->reachesPrimary() } });
     static constexpr std::array<const char*, 4> states { "starting", "serving", "draining", "stopped" };
     auto age = std::chrono::duration_cast<Milliseconds>(Clock::now() - this->freshness->confirmed()).count();
     json::object status { { "name", this->settings.name },
@@ -430,7 +423,8 @@
         { "platform_calls_total", "Calls to the platform's service", count(this->platform->calls()), true },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
         { "peer_bytes_received_total", "Bytes received from peers", count(this->link->bytesReceived()), true },
-        { "peer_messages_rejected_total", "Messages that were not authentic", count(this->link->messagesRejected()), true },
+        { "peer_messages_rejected_total", "Messages that were not authentic", count(this->link->messagesRejected()),
+            true },
         { "control_cpu_seconds_total", "Processor time of the control thread", this->controlCpuSeconds.load(), true },
         { "process_cpu_seconds_total", "Processor time of the process", processCpuSeconds(), true },
     };
--- a/src/libserver/request_pipeline.cpp
+++ b/src/libserver/request_pipeline.cpp
@@ -13,18 +13,18 @@
 
 namespace {
 
-constexpr const char* openWorkspace = "open";
-constexpr std::uint32_t mostTimeoutMs = 600000;
+    constexpr const char* openWorkspace = "open";
+    constexpr std::uint32_t mostTimeoutMs = 600000;
 
-tl::unexpected<Refusal> refuse(std::string code, std::string message)
-{
-    return tl::unexpected(notRun(std::move(code), std::move(message)));
-}
+    tl::unexpected<Refusal> refuse(std::string code, std::string message)
+    {
+        return tl::unexpected(notRun(std::move(code), std::move(message)));
+    }
 
-CallerOutcome outcomeOf(CallerResult result, std::string workspace)
-{
-    return { std::move(result), std::move(workspace) };
-}
+    CallerOutcome outcomeOf(CallerResult result, std::string workspace)
+    {
+        return { std::move(result), std::move(workspace) };
+    }
 
 } // namespace
 
@@ -65,8 +65,7 @@
     return routed;
 }
 
-tl::expected<RequestPipeline::Routed, Refusal> RequestPipeline::route(
-    const CallerRequest& caller, Routed routed) const
+tl::expected<RequestPipeline::Routed, Refusal> RequestPipeline::route(const CallerRequest& caller, Routed routed) const
 {
     auto pool = routed.tables->pools.find(routed.route->pool);
     if (pool == routed.tables->pools.end())
--- a/src/libserver/service_level.cpp
+++ b/src/libserver/service_level.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-// Refusals that the caller brought about; the service level does not cover them.
-constexpr std::array<std::string_view, 16> callersOwn { "bad_request", "bad_session", "foreign_session", "key_missing",
-    "key_refused", "route_refused", "unknown_route", "unknown_pool", "unknown_workspace", "rate_exceeded",
-    "statement_failed", "answer_too_large", "body_too_large", "key_reused", "settled_not_run", "deadline" };
+    // Refusals that the caller brought about; the service level does not cover them.
+    constexpr std::array<std::string_view, 16> callersOwn { "bad_request", "bad_session", "foreign_session",
+        "key_missing", "key_refused", "route_refused", "unknown_route", "unknown_pool", "unknown_workspace",
+        "rate_exceeded", "statement_failed", "answer_too_large", "body_too_large", "key_reused", "settled_not_run",
+        "deadline" };
 
 } // namespace
 
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -12,15 +12,15 @@
 
 namespace {
 
-constexpr Milliseconds keepInterval { 250 };
-// The holder stops this part of the lease early, for clocks that run at different speeds.
-constexpr int leaseMarginDivisor = 20;
-// The lease is renewed after this part of it.
-constexpr int renewDivisor = 3;
-// A slot's loans are over this long after its last use, and only then is it given back.
-constexpr Milliseconds releaseDelay { 2500 };
-constexpr Milliseconds firstClaimPause { 500 };
-constexpr Milliseconds longestClaimPause { 30000 };
+    constexpr Milliseconds keepInterval { 250 };
+    // The holder stops this part of the lease early, for clocks that run at different speeds.
+    constexpr int leaseMarginDivisor = 20;
+    // The lease is renewed after this part of it.
+    constexpr int renewDivisor = 3;
+    // A slot's loans are over this long after its last use, and only then is it given back.
+    constexpr Milliseconds releaseDelay { 2500 };
+    constexpr Milliseconds firstClaimPause { 500 };
+    constexpr Milliseconds longestClaimPause { 30000 };
 
 } // namespace
 
@@ -38,13 +38,11 @@
 void SlotKeeper::start()
 {
     auto self = this->shared_from_this();
-    asio::co_spawn(this->context, [self] { return self->keep(); }, asio::detached);
+    asio::co_spawn(
+        this->context, [self] { return self->keep(); }, asio::detached);
 }
 
-std::string SlotKeeper::keyOf(std::uint32_t slot) const
-{
-    return fmt::format("{}{:05}", slotPrefix, slot);
-}
+std::string SlotKeeper::keyOf(std::uint32_t slot) const { return fmt::format("{}{:05}", slotPrefix, slot); }
 
 std::size_t SlotKeeper::fairShare() const
 {
@@ -52,10 +50,7 @@
     return (this->options.slotCount + fleet - 1) / fleet;
 }
 
-void SlotKeeper::announce()
-{
-    this->hooks.changed(this->slots, this->validUntil);
-}
+void SlotKeeper::announce() { this->hooks.changed(this->slots, this->validUntil); }
 
 void SlotKeeper::dropIfOver()
 {
@@ -129,8 +124,8 @@
             co_return;
         this->takenByOthers.clear();
         for (const KeyValue& value : range->values)
-            this->takenByOthers.insert(
-                static_cast<std::uint32_t>(std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10)));
+            this->takenByOthers.insert(static_cast<std::uint32_t>(
+                std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10)));
         this->slotsRead = true;
     }
     // Each instance starts elsewhere, so that they seldom want the same slot.
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -13,8 +13,9 @@
 inline constexpr const char* slotPrefix = "/catkinlock/slot/";
 
 /// Claims this instance's share of the fleet's slots, each by compare-and-swap under one lease, renews the lease, and
-/// gives up slots when the fleet grows or the instance leaves. A slot is held until the lease's end by this process's own
-/// clock, counted from before the platform was asked, so that nobody else can have it meanwhile. On the control thread.
+/// gives up slots when the fleet grows or the instance leaves. A slot is held until the lease's end by this process's
+/// own clock, counted from before the platform was asked, so that nobody else can have it meanwhile. On the control
+/// thread.
 class SlotKeeper : public std::enable_shared_from_this<SlotKeeper> {
 public:
     struct Options {
--- a/src/libtarget/group_gateway.cpp
+++ b/src/libtarget/group_gateway.cpp
@@ -11,40 +11,37 @@
 
 namespace {
 
-constexpr Milliseconds failoverTick { 25 };
-constexpr Milliseconds reconnectPause { 50 };
-// How long another gateway's word that it reached the primary counts.
-constexpr Milliseconds reachedByOtherLifetime { 2000 };
-// Longest time that a member is asked to hold back its answer until a position is reached.
-constexpr Milliseconds awaitLimit { 200 };
-// An answer may hold the columns of a status only.
-constexpr std::size_t controlAnswerBytes = 4096;
+    constexpr Milliseconds failoverTick { 25 };
+    constexpr Milliseconds reconnectPause { 50 };
+    // How long another gateway's word that it reached the primary counts.
+    constexpr Milliseconds reachedByOtherLifetime { 2000 };
+    // Longest time that a member is asked to hold back its answer until a position is reached.
+    constexpr Milliseconds awaitLimit { 200 };
+    // An answer may hold the columns of a status only.
+    constexpr std::size_t controlAnswerBytes = 4096;
 
-std::string numberText(std::uint64_t value)
-{
-    return fmt::format("{}", value);
-}
+    std::string numberText(std::uint64_t value) { return fmt::format("{}", value); }
 
-// A question that is answered as soon as the member's position is there, instead of at the next poll.
-Statement awaitStatement(std::uint64_t term, std::uint64_t lsn)
-{
-    return { "SELECT * FROM catkinlock.await($1, $2, $3)",
-        { numberText(term), numberText(lsn), numberText(awaitLimit.count()) } };
-}
+    // A question that is answered as soon as the member's position is there, instead of at the next poll.
+    Statement awaitStatement(std::uint64_t term, std::uint64_t lsn)
+    {
+        return { "SELECT * FROM catkinlock.await($1, $2, $3)",
+            { numberText(term), numberText(lsn), numberText(awaitLimit.count()) } };
+    }
 
-Statement orderStatement(const FailoverAction& action, const std::string& primaryAddress)
-{
-    std::string term = numberText(action.term);
-    switch (action.kind) {
-    case FailoverAction::Kind::Fence:
-        return { "SELECT * FROM catkinlock.fence($1)", { term } };
-    case FailoverAction::Kind::Promote:
-        return { "SELECT * FROM catkinlock.promote($1)", { term } };
-    case FailoverAction::Kind::Follow:
-        break;
+    Statement orderStatement(const FailoverAction& action, const std::string& primaryAddress)
+    {
+        std::string term = numberText(action.term);
+        switch (action.kind) {
+        case FailoverAction::Kind::Fence:
+            return { "SELECT * FROM catkinlock.fence($1)", { term } };
+        case FailoverAction::Kind::Promote:
+            return { "SELECT * FROM catkinlock.promote($1)", { term } };
+        case FailoverAction::Kind::Follow:
+            break;
+        }
+        return { "SELECT * FROM catkinlock.follow($1, $2)", { term, primaryAddress } };
     }
-    return { "SELECT * FROM catkinlock.follow($1, $2)", { term, primaryAddress } };
-}
 
 } // namespace
 
@@ -70,8 +67,10 @@
 {
     auto self = this->shared_from_this();
     for (std::size_t member = 0; member < this->description.members.size(); ++member)
-        asio::co_spawn(this->executor, [self, member] { return self->watchMember(member); }, asio::detached);
-    asio::co_spawn(this->executor, [self] { return self->tickFailover(); }, asio::detached);
+        asio::co_spawn(
+            this->executor, [self, member] { return self->watchMember(member); }, asio::detached);
+    asio::co_spawn(
+        this->executor, [self] { return self->tickFailover(); }, asio::detached);
 }
 
 void GroupGateway::stop()
@@ -99,10 +98,7 @@
     });
 }
 
-void GroupGateway::noteReachedByOther()
-{
-    this->reachedByOtherAt.store(Clock::now());
-}
+void GroupGateway::noteReachedByOther() { this->reachedByOtherAt.store(Clock::now()); }
 
 asio::awaitable<void> GroupGateway::watchMember(std::size_t member)
 {
@@ -163,7 +159,8 @@
         auto pool = this->pools[*primary];
         std::size_t count = (this->connectionShare + 1) / 2;
         TimePoint deadline = Clock::now() + this->options.connectTimeout;
-        asio::co_spawn(this->executor, [pool, count, deadline] { return pool->warmUp(count, deadline); }, asio::detached);
+        asio::co_spawn(
+            this->executor, [pool, count, deadline] { return pool->warmUp(count, deadline); }, asio::detached);
     }
     this->changed.notifyAll();
 }
@@ -192,7 +189,8 @@
 {
     auto self = this->shared_from_this();
     for (const FailoverAction& action : actions)
-        asio::co_spawn(this->executor, [self, action] { return self->carryOut(action); }, asio::detached);
+        asio::co_spawn(
+            this->executor, [self, action] { return self->carryOut(action); }, asio::detached);
 }
 
 asio::awaitable<void> GroupGateway::carryOut(FailoverAction action)
@@ -217,8 +215,9 @@
         this->perform(this->failover.fenced(action.member, action.term, accepted, *status, Clock::now()));
     if (action.kind == FailoverAction::Kind::Promote && this->failover.promoted(action.member, action.term, accepted)) {
         ++this->counters.electionsWon;
-        this->log("primary_promoted", fmt::format("database {} term {} member {}", this->description.name, action.term,
-                                          this->description.members[action.member].name));
+        this->log("primary_promoted",
+            fmt::format("database {} term {} member {}", this->description.name, action.term,
+                this->description.members[action.member].name));
     }
     this->publish();
 }
--- a/src/libtarget/group_read.cpp
+++ b/src/libtarget/group_read.cpp
@@ -11,15 +11,15 @@
 
 namespace {
 
-constexpr int mostReadAttempts = 3;
+    constexpr int mostReadAttempts = 3;
 
-std::vector<Statement> readTransaction(const DatabaseRequest& request)
-{
-    std::vector<Statement> statements { { "BEGIN READ ONLY", {} }, { "SELECT * FROM catkinlock.position()", {} } };
-    statements.insert(statements.end(), request.statements.begin(), request.statements.end());
-    statements.push_back({ "COMMIT", {} });
-    return statements;
-}
+    std::vector<Statement> readTransaction(const DatabaseRequest& request)
+    {
+        std::vector<Statement> statements { { "BEGIN READ ONLY", {} }, { "SELECT * FROM catkinlock.position()", {} } };
+        statements.insert(statements.end(), request.statements.begin(), request.statements.end());
+        statements.push_back({ "COMMIT", {} });
+        return statements;
+    }
 
 } // namespace
 
@@ -36,7 +36,8 @@
             co_return floor;
         }
         if (Clock::now() >= request.deadline || this->stopped)
-            co_return tl::unexpected(notRun("age_not_proved", "no data can be proved to be as fresh as the route asks"));
+            co_return tl::unexpected(
+                notRun("age_not_proved", "no data can be proved to be as fresh as the route asks"));
         co_await this->changed.wait(request.deadline);
     }
 }
--- a/src/libtarget/group_write.cpp
+++ b/src/libtarget/group_write.cpp
@@ -16,83 +16,80 @@
 
 namespace {
 
-// Stands in place of a reply for a key that was settled as not run.
-constexpr const char* settledNotRun = "not_run";
-constexpr Milliseconds retryPause { 20 };
-
-// Keys of different workspaces never meet.
-std::string recordKey(const DatabaseRequest& request)
-{
-    return request.workspace + "\n" + request.idempotencyKey;
-}
-
-std::string requestDigest(const DatabaseRequest& request)
-{
-    std::string text = request.route + "\n";
-    for (const Statement& statement : request.statements) {
-        text += fmt::format("{}:{}", statement.sql.size(), statement.sql);
-        for (const auto& parameter : statement.parameters)
-            text += parameter ? fmt::format("={}:{}", parameter->size(), *parameter) : "-";
-        text += ";";
+    // Stands in place of a reply for a key that was settled as not run.
+    constexpr const char* settledNotRun = "not_run";
+    constexpr Milliseconds retryPause { 20 };
+
+    // Keys of different workspaces never meet.
+    std::string recordKey(const DatabaseRequest& request) { return request.workspace + "\n" + request.idempotencyKey; }
+
+    std::string requestDigest(const DatabaseRequest& request)
+    {
+        std::string text = request.route + "\n";
+        for (const Statement& statement : request.statements) {
+            text += fmt::format("{}:{}", statement.sql.size(), statement.sql);
+            for (const auto& parameter : statement.parameters)
+                text += parameter ? fmt::format("={}:{}", parameter->size(), *parameter) : "-";
+            text += ";";
+        }
+        return sha256Hex(text);
     }
-    return sha256Hex(text);
-}
 
-Statement insertRecord(const DatabaseRequest& request, const std::string& digest)
-{
-    return { "INSERT INTO catkinlock.requests (key, digest) VALUES ($1, $2) ON CONFLICT DO NOTHING RETURNING key",
-        { recordKey(request), digest } };
-}
-
-Statement updateRecord(const DatabaseRequest& request, const std::string& reply)
-{
-    return { "UPDATE catkinlock.requests SET reply = $2 WHERE key = $1", { recordKey(request), reply } };
-}
+    Statement insertRecord(const DatabaseRequest& request, const std::string& digest)
+    {
+        return { "INSERT INTO catkinlock.requests (key, digest) VALUES ($1, $2) ON CONFLICT DO NOTHING RETURNING key",
+            { recordKey(request), digest } };
+    }
 
-Statement positionStatement()
-{
-    return { "SELECT * FROM catkinlock.position()", {} };
-}
+    Statement updateRecord(const DatabaseRequest& request, const std::string& reply)
+    {
+        return { "UPDATE catkinlock.requests SET reply = $2 WHERE key = $1", { recordKey(request), reply } };
+    }
 
-// Everything of a write but its commit.
-std::vector<Statement> openingStatements(const DatabaseRequest& request)
-{
-    bool settling = request.kind == DatabaseRequest::Kind::Settle;
-    std::vector<Statement> statements { { "BEGIN", {} } };
-    if (!request.idempotencyKey.empty())
-        statements.push_back(insertRecord(request, settling ? "" : requestDigest(request)));
-    if (!settling)
-        statements.insert(statements.end(), request.statements.begin(), request.statements.end());
-    return statements;
-}
+    Statement positionStatement() { return { "SELECT * FROM catkinlock.position()", {} }; }
+
+    // Everything of a write but its commit.
+    std::vector<Statement> openingStatements(const DatabaseRequest& request)
+    {
+        bool settling = request.kind == DatabaseRequest::Kind::Settle;
+        std::vector<Statement> statements { { "BEGIN", {} } };
+        if (!request.idempotencyKey.empty())
+            statements.push_back(insertRecord(request, settling ? "" : requestDigest(request)));
+        if (!settling)
+            statements.insert(statements.end(), request.statements.begin(), request.statements.end());
+        return statements;
+    }
 
-std::vector<Statement> commitStatements(const DatabaseRequest& request, const std::vector<ResultSet>& results)
-{
-    bool settling = request.kind == DatabaseRequest::Kind::Settle;
-    std::vector<Statement> statements;
-    if (!request.idempotencyKey.empty())
-        statements.push_back(updateRecord(request, settling ? settledNotRun : writeResults(results)));
-    statements.push_back(positionStatement());
-    statements.push_back({ "COMMIT", {} });
-    statements.push_back(positionStatement());
-    return statements;
-}
+    std::vector<Statement> commitStatements(const DatabaseRequest& request, const std::vector<ResultSet>& results)
+    {
+        bool settling = request.kind == DatabaseRequest::Kind::Settle;
+        std::vector<Statement> statements;
+        if (!request.idempotencyKey.empty())
+            statements.push_back(updateRecord(request, settling ? settledNotRun : writeResults(results)));
+        statements.push_back(positionStatement());
+        statements.push_back({ "COMMIT", {} });
+        statements.push_back(positionStatement());
+        return statements;
+    }
 
-std::vector<Statement> recordStatements(const DatabaseRequest& request)
-{
-    return { { "SELECT digest, reply FROM catkinlock.requests WHERE key = $1", { recordKey(request) } },
-        positionStatement(), { "COMMIT", {} } };
-}
+    // The statements of a repeat ran in the same round trip as the insert that found the record; they are rolled back
+    // first.
+    std::vector<Statement> recordStatements(const DatabaseRequest& request)
+    {
+        return { rollbackStatement(),
+            { "SELECT digest, reply FROM catkinlock.requests WHERE key = $1", { recordKey(request) } },
+            positionStatement() };
+    }
 
-// The position of a commit between two answers of catkinlock.position(). The member must have been the primary of one
-// term from before to after, or the commit might belong to an older term than the position says.
-std::optional<Position> commitPosition(const ResultSet& before, const ResultSet& after)
-{
-    auto first = parseStatus(before);
-    auto last = parseStatus(after);
-    bool same = first && last && first->isPrimary && last->isPrimary && first->position.term == last->position.term;
-    return same ? std::optional(last->position) : std::nullopt;
-}
+    // The position of a commit between two answers of catkinlock.position(). The member must have been the primary of
+    // one term from before to after, or the commit might belong to an older term than the position says.
+    std::optional<Position> commitPosition(const ResultSet& before, const ResultSet& after)
+    {
+        auto first = parseStatus(before);
+        auto last = parseStatus(after);
+        bool same = first && last && first->isPrimary && last->isPrimary && first->position.term == last->position.term;
+        return same ? std::optional(last->position) : std::nullopt;
+    }
 
 } // namespace
 
@@ -167,8 +164,7 @@
 asio::awaitable<DatabaseResult> GroupGateway::commit(const DatabaseRequest& request, std::shared_ptr<Attempt> attempt)
 {
     bool settling = request.kind == DatabaseRequest::Kind::Settle;
-    auto answers
-        = co_await attempt->connection()->run(commitStatements(request, attempt->results), request.deadline);
+    auto answers = co_await attempt->connection()->run(commitStatements(request, attempt->results), request.deadline);
     if (!answers) {
         const TargetError& error = answers.error();
         if (error.kind == TargetError::Kind::Rejected) {
@@ -192,7 +188,8 @@
         co_return tl::unexpected(
             unknownOutcome("not_confirmed", "the primary committed, but no majority of its group confirmed it"));
     if (settling)
-        co_return tl::unexpected(notRun("settled_not_run", "the request had not run, and this key now keeps it from running"));
+        co_return tl::unexpected(
+            notRun("settled_not_run", "the request had not run, and this key now keeps it from running"));
     co_return makeReply(std::move(attempt->results), *position, false, false);
 }
 
@@ -202,21 +199,23 @@
 {
     auto answers = co_await attempt->connection()->run(recordStatements(request), request.deadline);
     attempt->loan.reset();
-    auto status = answers ? parseStatus((*answers)[1]) : tl::unexpected(answers.error());
-    bool found = status && status->isPrimary && (*answers)[0].rows.size() == 1;
+    auto status = answers ? parseStatus((*answers)[2]) : tl::unexpected(answers.error());
+    bool found = status && status->isPrimary && (*answers)[1].rows.size() == 1;
     if (!found)
-        co_return tl::unexpected(unknownOutcome("record_unread", "the record of the idempotency key could not be read"));
-    if (this->options.confirmByMajority && !co_await this->awaitConfirmed(status->position, request.deadline))
         co_return tl::unexpected(
-            unknownOutcome("not_confirmed", "no majority of the group has confirmed the record of the idempotency key"));
-    const auto& row = (*answers)[0].rows[0];
+            unknownOutcome("record_unread", "the record of the idempotency key could not be read"));
+    if (this->options.confirmByMajority && !co_await this->awaitConfirmed(status->position, request.deadline))
+        co_return tl::unexpected(unknownOutcome(
+            "not_confirmed", "no majority of the group has confirmed the record of the idempotency key"));
+    const auto& row = (*answers)[1].rows[0];
     std::string digest = row[0].value_or("");
     std::string reply = row[1].value_or("");
     if (reply == settledNotRun)
         co_return tl::unexpected(notRun("settled_not_run", "the request was settled as not run under this key"));
     bool settling = request.kind == DatabaseRequest::Kind::Settle;
     if (!settling && digest != requestDigest(request))
-        co_return tl::unexpected(notRun("key_reused", "the idempotency key belongs to another request; nothing of this one ran"));
+        co_return tl::unexpected(
+            notRun("key_reused", "the idempotency key belongs to another request; nothing of this one ran"));
     auto results = readResults(reply);
     if (!results)
         co_return tl::unexpected(unknownOutcome("record_unread", "the record of the idempotency key is malformed"));
--- a/src/libtarget/member_pool.cpp
+++ b/src/libtarget/member_pool.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t mostWaitersPerWorkspace = 256;
+    constexpr std::size_t mostWaitersPerWorkspace = 256;
 
 } // namespace
 
@@ -22,10 +22,7 @@
 {
 }
 
-MemberPool::Loan::~Loan()
-{
-    this->pool->giveBack(this->connection, this->workspace);
-}
+MemberPool::Loan::~Loan() { this->pool->giveBack(this->connection, this->workspace); }
 
 MemberPool::MemberPool(asio::any_io_executor executor, std::string address, std::size_t answerBytes)
     : executor(std::move(executor))
--- a/src/libtarget/target_connection.cpp
+++ b/src/libtarget/target_connection.cpp
@@ -11,59 +11,53 @@
 
 namespace {
 
-using ResultPointer = std::unique_ptr<PGresult, decltype(&PQclear)>;
+    using ResultPointer = std::unique_ptr<PGresult, decltype(&PQclear)>;
 
-ResultPointer takeResult(PGconn* connection)
-{
-    return ResultPointer(PQgetResult(connection), &PQclear);
-}
+    ResultPointer takeResult(PGconn* connection) { return ResultPointer(PQgetResult(connection), &PQclear); }
 
-std::size_t valueBytes(const PGresult* result)
-{
-    std::size_t size = 0;
-    for (int row = 0; row < PQntuples(result); ++row) {
-        for (int column = 0; column < PQnfields(result); ++column)
-            size += static_cast<std::size_t>(PQgetlength(result, row, column));
+    std::size_t valueBytes(const PGresult* result)
+    {
+        std::size_t size = 0;
+        for (int row = 0; row < PQntuples(result); ++row) {
+            for (int column = 0; column < PQnfields(result); ++column)
+                size += static_cast<std::size_t>(PQgetlength(result, row, column));
+        }
+        return size;
     }
-    return size;
-}
 
-ResultSet readRows(PGresult* result)
-{
-    ResultSet set;
-    int columns = PQnfields(result);
-    for (int column = 0; column < columns; ++column)
-        set.columns.emplace_back(PQfname(result, column));
-    for (int row = 0; row < PQntuples(result); ++row) {
-        auto& values = set.rows.emplace_back();
-        for (int column = 0; column < columns; ++column) {
-            if (PQgetisnull(result, row, column))
-                values.emplace_back();
-            else
-                values.emplace_back(std::string(PQgetvalue(result, row, column),
-                    static_cast<std::size_t>(PQgetlength(result, row, column))));
+    ResultSet readRows(PGresult* result)
+    {
+        ResultSet set;
+        int columns = PQnfields(result);
+        for (int column = 0; column < columns; ++column)
+            set.columns.emplace_back(PQfname(result, column));
+        for (int row = 0; row < PQntuples(result); ++row) {
+            auto& values = set.rows.emplace_back();
+            for (int column = 0; column < columns; ++column) {
+                if (PQgetisnull(result, row, column))
+                    values.emplace_back();
+                else
+                    values.emplace_back(std::string(
+                        PQgetvalue(result, row, column), static_cast<std::size_t>(PQgetlength(result, row, column))));
+            }
         }
+        set.affected = std::strtoull(PQcmdTuples(result), nullptr, 10);
+        return set;
     }
-    set.affected = std::strtoull(PQcmdTuples(result), nullptr, 10);
-    return set;
-}
 
-TargetError rejection(const PGresult* result)
-{
-    const char* code = PQresultErrorField(result, PG_DIAG_SQLSTATE);
-    const char* message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
-    return { TargetError::Kind::Rejected, code ? code : "", message ? message : PQresultErrorMessage(result) };
-}
+    TargetError rejection(const PGresult* result)
+    {
+        const char* code = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+        const char* message = PQresultErrorField(result, PG_DIAG_MESSAGE_PRIMARY);
+        return { TargetError::Kind::Rejected, code ? code : "", message ? message : PQresultErrorMessage(result) };
+    }
 
-TargetError tooLarge(std::size_t limit)
-{
-    return { TargetError::Kind::TooLarge, "", fmt::format("the answer has more than the {} bytes allowed", limit) };
-}
+    TargetError tooLarge(std::size_t limit)
+    {
+        return { TargetError::Kind::TooLarge, "", fmt::format("the answer has more than the {} bytes allowed", limit) };
+    }
 
-TargetError abortedByEarlier()
-{
-    return { TargetError::Kind::Rejected, "25P02", "an earlier statement failed" };
-}
+    TargetError abortedByEarlier() { return { TargetError::Kind::Rejected, "25P02", "an earlier statement failed" }; }
 
 } // namespace
 
@@ -84,10 +78,7 @@
 {
 }
 
-TargetConnection::~TargetConnection()
-{
-    this->close();
-}
+TargetConnection::~TargetConnection() { this->close(); }
 
 void TargetConnection::close()
 {
@@ -113,7 +104,8 @@
 TargetError TargetConnection::lost(const std::string& doing)
 {
     const char* detail = this->state->connection ? PQerrorMessage(this->state->connection) : "";
-    TargetError error { TargetError::Kind::Lost, "", fmt::format("{}: {}", doing, *detail ? detail : "no answer in time") };
+    TargetError error { TargetError::Kind::Lost, "",
+        fmt::format("{}: {}", doing, *detail ? detail : "no answer in time") };
     this->close();
     return error;
 }
@@ -153,7 +145,8 @@
     std::size_t colon = address.rfind(':');
     std::string host = address.substr(0, colon);
     std::string port = address.substr(colon + 1);
-    const char* keywords[] = { "hostaddr", "port", "dbname", "user", "sslmode", "gssencmode", "client_encoding", nullptr };
+    const char* keywords[]
+        = { "hostaddr", "port", "dbname", "user", "sslmode", "gssencmode", "client_encoding", nullptr };
     const char* values[]
         = { host.c_str(), port.c_str(), "catkinlock", "catkinlock", "disable", "disable", "UTF8", nullptr };
     this->state->connection = PQconnectStartParams(keywords, values, 0);
@@ -300,35 +293,29 @@
     co_return std::move(results->front());
 }
 
-Statement rollbackStatement()
-{
-    return { "ROLLBACK", {} };
-}
+Statement rollbackStatement() { return { "ROLLBACK", {} }; }
 
-Statement statusStatement()
-{
-    return { "SELECT * FROM catkinlock.status()", {} };
-}
+Statement statusStatement() { return { "SELECT * FROM catkinlock.status()", {} }; }
 
 namespace {
 
-const std::string* valueOf(const ResultSet& answer, const std::string& column)
-{
-    for (std::size_t i = 0; i < answer.columns.size(); ++i) {
-        if (answer.columns[i] == column && answer.rows.size() == 1 && answer.rows[0][i])
-            return &*answer.rows[0][i];
+    const std::string* valueOf(const ResultSet& answer, const std::string& column)
+    {
+        for (std::size_t i = 0; i < answer.columns.size(); ++i) {
+            if (answer.columns[i] == column && answer.rows.size() == 1 && answer.rows[0][i])
+                return &*answer.rows[0][i];
+        }
+        return nullptr;
     }
-    return nullptr;
-}
 
-bool readNumber(const ResultSet& answer, const std::string& column, std::uint64_t& out)
-{
-    const std::string* text = valueOf(answer, column);
-    if (!text)
-        return false;
-    auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), out);
-    return error == std::errc() && end == text->data() + text->size();
-}
+    bool readNumber(const ResultSet& answer, const std::string& column, std::uint64_t& out)
+    {
+        const std::string* text = valueOf(answer, column);
+        if (!text)
+            return false;
+        auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), out);
+        return error == std::errc() && end == text->data() + text->size();
+    }
 
 } // namespace
 
--- a/src/standin/caller.cpp
+++ b/src/standin/caller.cpp
@@ -14,42 +14,42 @@
 
 namespace {
 
-std::string textOf(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value && value->is_string() ? json::value_to<std::string>(*value) : "";
-}
+    std::string textOf(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        return value && value->is_string() ? json::value_to<std::string>(*value) : "";
+    }
 
-bool flagOf(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value && value->is_bool() && value->get_bool();
-}
+    bool flagOf(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        return value && value->is_bool() && value->get_bool();
+    }
 
-CallAnswer readAnswer(unsigned status, std::string body)
-{
-    CallAnswer answer;
-    answer.status = status;
-    answer.body = std::move(body);
-    json::error_code error;
-    json::value value = json::parse(answer.body, error);
-    const json::object* object = error ? nullptr : value.if_object();
-    if (!object)
-        return answer;
-    answer.outcome = textOf(*object, "outcome");
-    answer.code = textOf(*object, "code");
-    answer.session = textOf(*object, "session");
-    answer.fromReplica = flagOf(*object, "from_replica");
-    answer.repeated = flagOf(*object, "repeated");
-    const json::value* results = object->if_contains("results");
-    if (results && results->is_array() && !results->get_array().empty()) {
-        for (const json::value& row : results->get_array().back().at("rows").as_array()) {
-            const json::value& first = row.as_array()[0];
-            answer.values.push_back(first.is_string() ? json::value_to<std::string>(first) : "");
+    CallAnswer readAnswer(unsigned status, std::string body)
+    {
+        CallAnswer answer;
+        answer.status = status;
+        answer.body = std::move(body);
+        json::error_code error;
+        json::value value = json::parse(answer.body, error);
+        const json::object* object = error ? nullptr : value.if_object();
+        if (!object)
+            return answer;
+        answer.outcome = textOf(*object, "outcome");
+        answer.code = textOf(*object, "code");
+        answer.session = textOf(*object, "session");
+        answer.fromReplica = flagOf(*object, "from_replica");
+        answer.repeated = flagOf(*object, "repeated");
+        const json::value* results = object->if_contains("results");
+        if (results && results->is_array() && !results->get_array().empty()) {
+            for (const json::value& row : results->get_array().back().at("rows").as_array()) {
+                const json::value& first = row.as_array()[0];
+                answer.values.push_back(first.is_string() ? json::value_to<std::string>(first) : "");
+            }
         }
+        return answer;
     }
-    return answer;
-}
 
 } // namespace
 
@@ -80,6 +80,8 @@
 }
 
 Caller::~Caller() = default;
+Caller::Caller(Caller&&) noexcept = default;
+Caller& Caller::operator=(Caller&&) noexcept = default;
 
 CallAnswer Caller::exchange(
     bool isPost, const std::string& path, const std::string& body, const Headers& headers, unsigned timeoutMs)
@@ -116,10 +118,7 @@
     return this->exchange(true, path, body, headers, timeoutMs);
 }
 
-CallAnswer Caller::get(const std::string& path)
-{
-    return this->exchange(false, path, "", {}, 5000);
-}
+CallAnswer Caller::get(const std::string& path) { return this->exchange(false, path, "", {}, 5000); }
 
 CallAnswer Caller::run(const std::string& route, const std::string& sql, const std::vector<std::string>& parameters,
     const CallOptions& options)
@@ -137,8 +136,7 @@
         "/v1/" + route + "/settle", json::serialize(body), callerHeaders(options), options.timeoutMs + 2000);
 }
 
-std::string statementBody(
-    const std::string& sql, const std::vector<std::string>& parameters, const std::string& shard)
+std::string statementBody(const std::string& sql, const std::vector<std::string>& parameters, const std::string& shard)
 {
     json::array values(parameters.begin(), parameters.end());
     json::object body { { "statements", json::array { json::object { { "sql", sql }, { "parameters", values } } } } };
--- a/src/standin/caller.h
+++ b/src/standin/caller.h
@@ -39,6 +39,8 @@
 public:
     explicit Caller(std::string address);
     ~Caller();
+    Caller(Caller&&) noexcept;
+    Caller& operator=(Caller&&) noexcept;
 
     /// One HTTP request; reconnects if the connection is gone.
     CallAnswer post(const std::string& path, const std::string& body, const Headers&, unsigned timeoutMs = 10000);
@@ -51,7 +53,8 @@
 
 private:
     struct Stream;
-    CallAnswer exchange(bool isPost, const std::string& path, const std::string& body, const Headers&, unsigned timeoutMs);
+    CallAnswer exchange(
+        bool isPost, const std::string& path, const std::string& body, const Headers&, unsigned timeoutMs);
 
     std::string address;
     std::unique_ptr<Stream> stream;
--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -17,32 +17,29 @@
 
 namespace {
 
-std::string memberOf(const std::string& line, const char* name)
-{
-    json::error_code error;
-    json::value value = json::parse(line, error);
-    const json::object* object = error ? nullptr : value.if_object();
-    const json::value* found = object ? object->if_contains(name) : nullptr;
-    return found && found->is_string() ? json::value_to<std::string>(*found) : "";
-}
+    std::string memberOf(const std::string& line, const char* name)
+    {
+        json::error_code error;
+        json::value value = json::parse(line, error);
+        const json::object* object = error ? nullptr : value.if_object();
+        const json::value* found = object ? object->if_contains(name) : nullptr;
+        return found && found->is_string() ? json::value_to<std::string>(*found) : "";
+    }
 
-using Connection = std::unique_ptr<PGconn, decltype(&PQfinish)>;
+    using Connection = std::unique_ptr<PGconn, decltype(&PQfinish)>;
 
-Connection connectTo(const std::string& address)
-{
-    std::size_t colon = address.rfind(':');
-    std::string info = fmt::format("hostaddr={} port={} user=test dbname=test sslmode=disable gssencmode=disable "
-                                   "connect_timeout=2",
-        address.substr(0, colon), address.substr(colon + 1));
-    return Connection(PQconnectdb(info.c_str()), &PQfinish);
-}
+    Connection connectTo(const std::string& address)
+    {
+        std::size_t colon = address.rfind(':');
+        std::string info = fmt::format("hostaddr={} port={} user=test dbname=test sslmode=disable gssencmode=disable "
+                                       "connect_timeout=2",
+            address.substr(0, colon), address.substr(colon + 1));
+        return Connection(PQconnectdb(info.c_str()), &PQfinish);
+    }
 
 } // namespace
 
-std::string Fleet::binaryFolder()
-{
-    return std::filesystem::read_symlink("/proc/self/exe").parent_path();
-}
+std::string Fleet::binaryFolder() { return std::filesystem::read_symlink("/proc/self/exe").parent_path(); }
 
 Fleet::Fleet(Options options)
     : options(std::move(options))
@@ -133,10 +130,7 @@
     return this->instances.size() - 1;
 }
 
-std::string Fleet::page(std::size_t index, const std::string& path) const
-{
-    return this->caller(index).get(path).body;
-}
+std::string Fleet::page(std::size_t index, const std::string& path) const { return this->caller(index).get(path).body; }
 
 double Fleet::metric(std::size_t index, const std::string& name) const
 {
@@ -198,8 +192,8 @@
     Caller(this->platformListens).post("/standin/set", json::serialize(request), {});
 }
 
-std::vector<std::string> Fleet::query(std::size_t database, std::size_t index, const std::string& sql,
-    const std::vector<std::string>& parameters) const
+std::vector<std::string> Fleet::query(
+    std::size_t database, std::size_t index, const std::string& sql, const std::vector<std::string>& parameters) const
 {
     Connection connection = connectTo(this->members[database][index].address);
     std::vector<const char*> values;
--- a/src/standin/kv_store.cpp
+++ b/src/standin/kv_store.cpp
@@ -9,34 +9,28 @@
 
 namespace {
 
-std::string textOf(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    return value && value->is_string() ? decodeBase64(json::value_to<std::string>(*value)) : "";
-}
+    std::string textOf(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        return value && value->is_string() ? decodeBase64(json::value_to<std::string>(*value)) : "";
+    }
 
-// etcd writes 64-bit numbers as JSON texts and takes both forms.
-std::int64_t numberOf(const json::object& object, const char* name)
-{
-    const json::value* value = object.if_contains(name);
-    if (!value)
-        return 0;
-    if (value->is_string())
-        return std::strtoll(value->get_string().c_str(), nullptr, 10);
-    return value->is_number() ? value->to_number<std::int64_t>() : 0;
-}
+    // etcd writes 64-bit numbers as JSON texts and takes both forms.
+    std::int64_t numberOf(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        if (!value)
+            return 0;
+        if (value->is_string())
+            return std::strtoll(value->get_string().c_str(), nullptr, 10);
+        return value->is_number() ? value->to_number<std::int64_t>() : 0;
+    }
 
-std::string digits(std::int64_t value)
-{
-    return fmt::format("{}", value);
-}
+    std::string digits(std::int64_t value) { return fmt::format("{}", value); }
 
 } // namespace
 
-json::object KvStore::header() const
-{
-    return { { "revision", digits(this->lastRevision) } };
-}
+json::object KvStore::header() const { return { { "revision", digits(this->lastRevision) } }; }
 
 json::object KvStore::keyValue(const std::string& key, const Value& value) const
 {
--- a/src/standin/log.cpp
+++ b/src/standin/log.cpp
@@ -6,15 +6,9 @@
 
 namespace json = boost::json;
 
-Position Log::last() const
-{
-    return this->log.empty() ? Position {} : this->log.back().position;
-}
+Position Log::last() const { return this->log.empty() ? Position {} : this->log.back().position; }
 
-void Log::append(Entry entry)
-{
-    this->log.push_back(std::move(entry));
-}
+void Log::append(Entry entry) { this->log.push_back(std::move(entry)); }
 
 void Log::applyTo(std::uint64_t lsn)
 {
--- a/src/standin/member.cpp
+++ b/src/standin/member.cpp
@@ -14,21 +14,18 @@
 
 namespace {
 
-constexpr milliseconds heartbeatInterval { 50 };
-constexpr milliseconds reconnectDelay { 50 };
-constexpr milliseconds replicationTimeout { 500 };
+    constexpr milliseconds heartbeatInterval { 50 };
+    constexpr milliseconds reconnectDelay { 50 };
+    constexpr milliseconds replicationTimeout { 500 };
 
-auto noThrow(boost::system::error_code& error)
-{
-    return asio::redirect_error(asio::use_awaitable, error);
-}
+    auto noThrow(boost::system::error_code& error) { return asio::redirect_error(asio::use_awaitable, error); }
 
-tcp::endpoint endpointOf(const std::string& address)
-{
-    std::size_t colon = address.rfind(':');
-    return { asio::ip::make_address(address.substr(0, colon)),
-        static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
-}
+    tcp::endpoint endpointOf(const std::string& address)
+    {
+        std::size_t colon = address.rfind(':');
+        return { asio::ip::make_address(address.substr(0, colon)),
+            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))) };
+    }
 
 } // namespace
 
@@ -48,10 +45,7 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(silence).count());
 }
 
-void GroupMember::notify()
-{
-    this->changed.cancel();
-}
+void GroupMember::notify() { this->changed.cancel(); }
 
 asio::awaitable<void> GroupMember::waitForChange(milliseconds limit)
 {
@@ -102,7 +96,6 @@
         return false;
     this->log.promise(term);
     this->primary = false;
-    this->heardAt = steady_clock::now();
     ++this->generation;
     asio::co_spawn(this->context, this->replicate(this->generation, term, source), asio::detached);
     this->notify();
@@ -222,6 +215,8 @@
     std::uint64_t entryTerm = 0;
     while (words >> entryTerm && this->log.termAt(common + 1) == entryTerm)
         ++common;
+    while (this->faults.cutReplication)
+        co_await this->waitForChange(heartbeatInterval);
     std::string hello = fmt::format("{}\n", common);
     co_await asio::async_write(socket, asio::buffer(hello), asio::use_awaitable);
     std::uint64_t sent = common;
--- a/src/standin/pg_session.cpp
+++ b/src/standin/pg_session.cpp
@@ -9,48 +9,48 @@
 
 namespace {
 
-constexpr std::uint32_t protocolVersion3 = 196608;
-constexpr std::uint32_t textOid = 25;
+    constexpr std::uint32_t protocolVersion3 = 196608;
+    constexpr std::uint32_t textOid = 25;
 
-void putInt16(std::string& out, std::uint16_t value)
-{
-    boost::endian::native_to_big_inplace(value);
-    out.append(reinterpret_cast<const char*>(&value), sizeof value);
-}
+    void putInt16(std::string& out, std::uint16_t value)
+    {
+        boost::endian::native_to_big_inplace(value);
+        out.append(reinterpret_cast<const char*>(&value), sizeof value);
+    }
 
-void putInt32(std::string& out, std::uint32_t value)
-{
-    boost::endian::native_to_big_inplace(value);
-    out.append(reinterpret_cast<const char*>(&value), sizeof value);
-}
+    void putInt32(std::string& out, std::uint32_t value)
+    {
+        boost::endian::native_to_big_inplace(value);
+        out.append(reinterpret_cast<const char*>(&value), sizeof value);
+    }
 
-std::uint16_t takeInt16(const std::string& data, std::size_t& at)
-{
-    std::uint16_t value = boost::endian::load_big_u16(reinterpret_cast<const unsigned char*>(data.data() + at));
-    at += sizeof value;
-    return value;
-}
+    std::uint16_t takeInt16(const std::string& data, std::size_t& at)
+    {
+        std::uint16_t value = boost::endian::load_big_u16(reinterpret_cast<const unsigned char*>(data.data() + at));
+        at += sizeof value;
+        return value;
+    }
 
-std::uint32_t takeInt32(const std::string& data, std::size_t& at)
-{
-    std::uint32_t value = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(data.data() + at));
-    at += sizeof value;
-    return value;
-}
+    std::uint32_t takeInt32(const std::string& data, std::size_t& at)
+    {
+        std::uint32_t value = boost::endian::load_big_u32(reinterpret_cast<const unsigned char*>(data.data() + at));
+        at += sizeof value;
+        return value;
+    }
 
-std::string takeText(const std::string& data, std::size_t& at)
-{
-    std::string text = data.c_str() + at;
-    at += text.size() + 1;
-    return text;
-}
+    std::string takeText(const std::string& data, std::size_t& at)
+    {
+        std::string text = data.c_str() + at;
+        at += text.size() + 1;
+        return text;
+    }
 
-std::string trimmed(const std::string& text)
-{
-    std::size_t first = text.find_first_not_of(" \n;");
-    std::size_t last = text.find_last_not_of(" \n;");
-    return first == std::string::npos ? "" : text.substr(first, last - first + 1);
-}
+    std::string trimmed(const std::string& text)
+    {
+        std::size_t first = text.find_first_not_of(" \n;");
+        std::size_t last = text.find_last_not_of(" \n;");
+        return first == std::string::npos ? "" : text.substr(first, last - first + 1);
+    }
 
 } // namespace
 
@@ -101,7 +101,8 @@
     std::string ok;
     putInt32(ok, 0);
     this->put('R', ok);
-    for (const char* parameter : { "server_version\00015.0", "client_encoding\000UTF8", "standard_conforming_strings\000on" }) {
+    for (const char* parameter :
+        { "server_version\00015.0", "client_encoding\000UTF8", "standard_conforming_strings\000on" }) {
         std::string name = parameter;
         std::string value = parameter + name.size() + 1;
         this->put('S', name + '\0' + value + '\0');
@@ -254,15 +255,12 @@
 
 void PgSession::putError(const Answer& result)
 {
-    std::string payload = std::string("SERROR") + '\0' + 'C' + result.errorCode + '\0' + 'M' + result.errorMessage
-        + '\0' + '\0';
+    std::string payload
+        = std::string("SERROR") + '\0' + 'C' + result.errorCode + '\0' + 'M' + result.errorMessage + '\0' + '\0';
     this->put('E', payload);
 }
 
-void PgSession::putReady()
-{
-    this->put('Z', std::string(1, this->session.status()));
-}
+void PgSession::putReady() { this->put('Z', std::string(1, this->session.status())); }
 
 asio::awaitable<void> PgSession::flush()
 {
--- a/src/standin/sql.cpp
+++ b/src/standin/sql.cpp
@@ -11,43 +11,43 @@
 
 namespace {
 
-// Separates the digest from the reply in a row of the requests table.
-constexpr char fieldSeparator = '\x1f';
+    // Separates the digest from the reply in a row of the requests table.
+    constexpr char fieldSeparator = '\x1f';
 
-Answer failure(std::string code, std::string message)
-{
-    Answer answer;
-    answer.errorCode = std::move(code);
-    answer.errorMessage = std::move(message);
-    return answer;
-}
+    Answer failure(std::string code, std::string message)
+    {
+        Answer answer;
+        answer.errorCode = std::move(code);
+        answer.errorMessage = std::move(message);
+        return answer;
+    }
 
-Answer done(std::string tag)
-{
-    Answer answer;
-    answer.tag = std::move(tag);
-    return answer;
-}
+    Answer done(std::string tag)
+    {
+        Answer answer;
+        answer.tag = std::move(tag);
+        return answer;
+    }
 
-std::string textOf(const Parameters& parameters, std::size_t index)
-{
-    return index < parameters.size() ? parameters[index].value_or("") : "";
-}
+    std::string textOf(const Parameters& parameters, std::size_t index)
+    {
+        return index < parameters.size() ? parameters[index].value_or("") : "";
+    }
 
-std::uint64_t numberOf(const Parameters& parameters, std::size_t index)
-{
-    return std::strtoull(textOf(parameters, index).c_str(), nullptr, 10);
-}
+    std::uint64_t numberOf(const Parameters& parameters, std::size_t index)
+    {
+        return std::strtoull(textOf(parameters, index).c_str(), nullptr, 10);
+    }
 
-// The word after `before`, such as a table's name.
-std::string wordAfter(const std::string& sql, const std::string& before)
-{
-    std::size_t at = sql.find(before);
-    if (at == std::string::npos)
-        return {};
-    at += before.size();
-    return sql.substr(at, sql.find(' ', at) - at);
-}
+    // The word after `before`, such as a table's name.
+    std::string wordAfter(const std::string& sql, const std::string& before)
+    {
+        std::size_t at = sql.find(before);
+        if (at == std::string::npos)
+            return {};
+        at += before.size();
+        return sql.substr(at, sql.find(' ', at) - at);
+    }
 
 } // namespace
 
@@ -56,10 +56,7 @@
 {
 }
 
-SqlSession::~SqlSession()
-{
-    this->reset();
-}
+SqlSession::~SqlSession() { this->reset(); }
 
 void SqlSession::reset()
 {
@@ -116,8 +113,8 @@
             if (change.table == requestsTable && change.id == textOf(parameters, 0))
                 digest = change.body.substr(0, change.body.find(fieldSeparator));
         }
-        co_return this->write({ requestsTable, textOf(parameters, 0), digest + fieldSeparator + textOf(parameters, 1) },
-            "UPDATE 1");
+        co_return this->write(
+            { requestsTable, textOf(parameters, 0), digest + fieldSeparator + textOf(parameters, 1) }, "UPDATE 1");
     }
     if (sql.starts_with("SELECT digest, reply FROM catkinlock.requests")) {
         Answer answer = done("SELECT 1");
@@ -180,8 +177,7 @@
     answer.columns = { "key" };
     if (!this->member->log.find(requestsTable, key).empty())
         co_return answer;
-    Answer written
-        = this->write({ requestsTable, key, textOf(parameters, 1) + fieldSeparator }, "INSERT 0 1");
+    Answer written = this->write({ requestsTable, key, textOf(parameters, 1) + fieldSeparator }, "INSERT 0 1");
     if (!written.errorCode.empty())
         co_return written;
     if (this->state == 'T') {
@@ -216,8 +212,7 @@
 {
     const GroupMember& member = *this->member;
     Answer answer = done("SELECT 1");
-    answer.columns = { "accepted", "is_primary", "promised", "term", "lsn", "log_term", "applied_lsn",
-        "heard_ms" };
+    answer.columns = { "accepted", "is_primary", "promised", "term", "lsn", "log_term", "applied_lsn", "heard_ms" };
     answer.rows.push_back({ accepted ? "t" : "f", member.isPrimary() ? "t" : "f",
         fmt::format("{}", member.log.promised()), fmt::format("{}", member.position().term),
         fmt::format("{}", member.position().lsn), fmt::format("{}", member.log.last().term),
@@ -248,9 +243,9 @@
 {
     MemberFaults& faults = this->member->faults;
     std::map<std::string, std::uint32_t*> fields { { "lag_ms", &faults.lagMs }, { "receive_ms", &faults.receiveMs },
-        { "delay_ms", &faults.delayMs },
-        { "connect_ms", &faults.connectMs }, { "lose_commit_answers", &faults.loseCommitAnswers },
-        { "cut_replication", &faults.cutReplication }, { "cut_clients", &faults.cutClients } };
+        { "delay_ms", &faults.delayMs }, { "connect_ms", &faults.connectMs },
+        { "lose_commit_answers", &faults.loseCommitAnswers }, { "cut_replication", &faults.cutReplication },
+        { "cut_clients", &faults.cutClients } };
     auto field = fields.find(name);
     if (field == fields.end())
         return failure("22023", "no such fault: " + name);
--- a/src/standin/standin_main.cpp
+++ b/src/standin/standin_main.cpp
@@ -11,14 +11,15 @@
 
 namespace {
 
-void awaitEnd(std::shared_ptr<asio::posix::stream_descriptor> input, std::shared_ptr<char> byte)
-{
-    input->async_read_some(asio::buffer(byte.get(), 1), [input, byte](boost::system::error_code error, std::size_t) {
-        if (error)
-            _exit(0);
-        awaitEnd(input, byte);
-    });
-}
+    void awaitEnd(std::shared_ptr<asio::posix::stream_descriptor> input, std::shared_ptr<char> byte)
+    {
+        input->async_read_some(
+            asio::buffer(byte.get(), 1), [input, byte](boost::system::error_code error, std::size_t) {
+                if (error)
+                    _exit(0);
+                awaitEnd(input, byte);
+            });
+    }
 
 } // namespace
 
--- /dev/null
+++ b/testsuite/graceful_shutdown/graceful_shutdown.cpp
@@ -0,0 +1,88 @@
+// Instances and targets that leave: no request is cut, and no new work goes to them.
+
+#include "standin/fleet.h"
+#include <atomic>
+#include <boost/json.hpp>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace catkinlock::standin;
+
+namespace {
+
+const char* const insertBooking = "INSERT INTO bookings (id, body) VALUES ($1, $2)";
+
+} // namespace
+
+TEST(GracefulShutdown, CutsNoRequest)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.setMember(0, i, "delay_ms", 30);
+    std::atomic<bool> stopping { false };
+    std::atomic<unsigned> done { 0 };
+    std::atomic<unsigned> others { 0 };
+    std::vector<std::thread> callers;
+    for (std::size_t i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            Caller leaving = fleet.caller(0);
+            Caller staying = fleet.caller(1 + i % 2);
+            bool gone = false;
+            while (!stopping) {
+                auto answer = (gone ? staying : leaving).run("orders", insertBooking, { "g", "g" }, { fleet.key });
+                // A connection that can't be opened any more sent nothing; the balancer would go elsewhere.
+                if (!gone && !answer.status)
+                    gone = true;
+                else if (answer.isDone())
+                    ++done;
+                else
+                    ++others;
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet.instance(0).sendSignal(SIGTERM);
+    EXPECT_EQ(fleet.instance(0).awaitExit(30), 0);
+    stopping = true;
+    for (std::thread& caller : callers)
+        caller.join();
+    EXPECT_EQ(others, 0u);
+    EXPECT_GT(done, 30u);
+    EXPECT_NE(fleet.instance(0).output().find("\"requests_cut\":\"false\""), std::string::npos);
+}
+
+TEST(GracefulShutdown, AnOperatorDrainsAnInstance)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    fleet.putTable("instance/entry-1", R"({"drain": true})");
+    EXPECT_EQ(fleet.instance(1).awaitExit(30), 0);
+    EXPECT_TRUE(fleet.caller(0).run("orders", insertBooking, { "a", "a" }, { fleet.key }).isDone());
+}
+
+TEST(GracefulShutdown, ATargetThatLeavesGetsNoNewReads)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    std::size_t primary = fleet.primary(0);
+    boost::json::array members;
+    for (std::size_t i = 0; i < 3; ++i)
+        members.push_back(boost::json::object { { "name", "member-" + std::to_string(i) },
+            { "address", fleet.memberAddress(0, i) }, { "leaving", i != primary } });
+    boost::json::object database { { "name", "ledger-0" }, { "connections", 50 }, { "members", members } };
+    fleet.putTable("pool/tour-ledger",
+        boost::json::serialize(boost::json::object { { "databases", boost::json::array { database } } }));
+    EXPECT_TRUE(Fleet::waitFor(
+        [&] {
+            for (std::size_t i = 0; i < 3; ++i) {
+                auto read
+                    = fleet.caller(i).run("rosters", "SELECT body FROM bookings WHERE id = $1", { "x" }, { fleet.key });
+                if (!read.isDone() || read.fromReplica)
+                    return false;
+            }
+            return true;
+        },
+        8));
+}
