--- /dev/null
+++ b/testsuite/outcomes/outcomes.cpp
@@ -0,0 +1,133 @@
+// What a caller is told is true: lost answers, repeats at other instances, settlement, instances that die
+// mid-transaction.
+
+#include "standin/fleet.h"
+#include <csignal>
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace catkinlock::standin;
+
+namespace {
+
+const char* const insertBooking = "INSERT INTO bookings (id, body) VALUES ($1, $2)";
+
+std::size_t countOf(const Fleet& fleet, const std::string& id)
+{
+    auto rows = fleet.query(0, fleet.primary(0), "SELECT body FROM bookings WHERE id = $1", { id });
+    return rows.size();
+}
+
+} // namespace
+
+TEST(Outcomes, ALostCommitAnswerWithAKeyIsSettledAndRunsOnce)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    fleet.setMember(0, fleet.primary(0), "lose_commit_answers", 1);
+    CallOptions options { fleet.key };
+    options.idempotencyKey = "booking-1";
+    auto first = fleet.caller(0).run("orders", insertBooking, { "b1", "two seats" }, options);
+    EXPECT_TRUE(first.isDone()) << first.body;
+    auto repeat = fleet.caller(1).run("orders", insertBooking, { "b1", "two seats" }, options);
+    EXPECT_TRUE(repeat.isDone()) << repeat.body;
+    EXPECT_TRUE(repeat.repeated);
+    EXPECT_EQ(countOf(fleet, "b1"), 1u);
+}
+
+TEST(Outcomes, ALostCommitAnswerWithoutAKeyIsUnknown)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    fleet.setMember(0, fleet.primary(0), "lose_commit_answers", 1);
+    auto answer = fleet.caller(0).run("orders", insertBooking, { "b2", "x" }, { fleet.key });
+    EXPECT_EQ(answer.outcome, "unknown") << answer.body;
+    EXPECT_EQ(answer.status, 504u);
+    EXPECT_EQ(countOf(fleet, "b2"), 1u);
+}
+
+TEST(Outcomes, AKeyThatWasSettledAsNotRunNeverRuns)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    CallOptions options { fleet.key };
+    options.idempotencyKey = "never";
+    auto settled = fleet.caller(0).settle("orders", options);
+    EXPECT_EQ(settled.outcome, "not_run") << settled.body;
+    EXPECT_EQ(settled.code, "settled_not_run");
+    auto late = fleet.caller(1).run("orders", insertBooking, { "b3", "x" }, options);
+    EXPECT_EQ(late.outcome, "not_run") << late.body;
+    EXPECT_EQ(countOf(fleet, "b3"), 0u);
+}
+
+TEST(Outcomes, AKeyOfAnotherRequestIsRefused)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    CallOptions options { fleet.key };
+    options.idempotencyKey = "same";
+    ASSERT_TRUE(fleet.caller(0).run("orders", insertBooking, { "b4", "x" }, options).isDone());
+    auto other = fleet.caller(0).run("orders", insertBooking, { "b5", "x" }, options);
+    EXPECT_EQ(other.code, "key_reused") << other.body;
+    EXPECT_EQ(countOf(fleet, "b5"), 0u);
+}
+
+TEST(Outcomes, AWriteThatNoReplicaConfirmsIsUnknownAndNotAcknowledged)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    std::size_t primary = fleet.primary(0);
+    for (std::size_t i = 0; i < 3; ++i) {
+        if (i != primary)
+            fleet.member(0, i).sendSignal(SIGSTOP);
+    }
+    CallOptions options { fleet.key };
+    options.timeoutMs = 800;
+    auto answer = fleet.caller(0).run("orders", insertBooking, { "b6", "x" }, options);
+    EXPECT_EQ(answer.outcome, "unknown") << answer.body;
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.member(0, i).sendSignal(SIGCONT);
+}
+
+// Instances are killed while they hold writes; each key's writes land once, whatever its caller was told.
+TEST(Outcomes, InstancesThatDieInTheMiddleDoubleNothing)
+{
+    Fleet::Options shape;
+    shape.instances = 4;
+    Fleet fleet(shape);
+    ASSERT_TRUE(fleet.start());
+    for (std::size_t i = 0; i < 3; ++i)
+        fleet.setMember(0, i, "delay_ms", 20);
+    std::vector<std::thread> callers;
+    std::vector<std::string> outcomes(40);
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        callers.emplace_back([&, i] {
+            CallOptions options { fleet.key };
+            options.idempotencyKey = "k" + std::to_string(i);
+            options.timeoutMs = 3000;
+            std::string id = "d" + std::to_string(i);
+            CallAnswer answer = fleet.caller(i % 2).run("orders", insertBooking, { id, "x" }, options);
+            // A caller without an answer repeats at an instance that lives.
+            for (int again = 0; again < 5 && !answer.isDone(); ++again)
+                answer = fleet.caller(2 + i % 2).run("orders", insertBooking, { id, "x" }, options);
+            outcomes[i] = answer.outcome;
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(4));
+        if (i == 15)
+            fleet.instance(0).kill();
+        if (i == 25)
+            fleet.instance(1).kill();
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+        std::size_t count = countOf(fleet, "d" + std::to_string(i));
+        EXPECT_LE(count, 1u);
+        if (outcomes[i] == "done") {
+            EXPECT_EQ(count, 1u);
+        }
+        if (outcomes[i] == "not_run") {
+            EXPECT_EQ(count, 0u);
+        }
+    }
+}
--- a/testsuite/whole_path/whole_path.cpp
+++ b/testsuite/whole_path/whole_path.cpp
@@ -11,7 +11,8 @@
     ASSERT_TRUE(fleet.start());
     Caller first = fleet.caller(0);
     CallOptions options { fleet.key };
-    auto written = first.run("orders", "INSERT INTO bookings (id, body) VALUES ($1, $2)", { "b1", "two seats" }, options);
+    auto written
+        = first.run("orders", "INSERT INTO bookings (id, body) VALUES ($1, $2)", { "b1", "two seats" }, options);
     ASSERT_TRUE(written.isDone()) << written.body;
     ASSERT_FALSE(written.session.empty());
     options.session = written.session;
