--- /dev/null
+++ b/src/cmake/run_tests.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Runs every test and prints "N passed, N failed". Tests that KNOWN-RED.txt names by "test: NAME" are run, printed, and
+# left out of the count.
+set -u
+build=${BUILD:-build}
+known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null)
+passed=0
+failed=0
+for binary in "$build"/bin/*_test "$build"/bin/case_*; do
+    report=$(mktemp)
+    "$binary" --gtest_output="json:$report" >"$report.log" 2>&1
+    while read -r verdict name; do
+        if grep -qxF "$name" <<<"$known"; then
+            echo "known red: $name ($verdict)"
+        elif [ "$verdict" = ok ]; then
+            passed=$((passed + 1))
+        else
+            failed=$((failed + 1))
+            echo "FAILED: $name"
+        fi
+    done < <(sed -nE 's/^\[       OK \] ([^ ]+) .*/ok \1/p; s/^\[  FAILED  \] ([^ ,]+) \([0-9]+ ms\)$/failed \1/p' "$report.log")
+    if ! grep -q '^\[==========\].* ran\.' "$report.log"; then
+        failed=$((failed + 1))
+        echo "FAILED: $(basename "$binary") ended early"
+    fi
+    grep -qE '^\[  FAILED|ended early' "$report.log" && cat "$report.log"
+    rm -f "$report" "$report.log"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
