Give borrowed shares back when a session has left

Cause of the wrongful refusals: units stayed up to 0.7 s with an instance that the sessions had left, while the whole rate is only a tenth above the demand. A borrower now returns what is over 1.3 times its demand: it debits before it sends, the lender credits a loan's name once and only while the loan runs, so a lost, late or doubled return makes no tokens.

--- a/src/include/catkinlock/share_bucket.h
+++ b/src/include/catkinlock/share_bucket.h
@@ -15,6 +15,8 @@
 
 /// A loan of part of a workspace's rate and burst, with the tokens that lay in that part.
 struct ShareLoan {
+    /// The lender's name for the loan; each is used once.
+    std::uint64_t id = 0;
     std::uint64_t units = 0;
     std::int64_t milliTokens = 0;
     Milliseconds duration { 0 };
@@ -28,7 +30,8 @@
 ///
 /// Home units come with the slots that the instance holds under a lease. A loan moves units for a bounded time: the
 /// borrower counts it from when it asked, the lender from when it granted and a little longer, so nothing has to be
-/// given back. The level (the tokens that may be spent) is kept by the caller, who passes it in and takes the new one.
+/// given back; what a borrower no longer needs may come back early. The level (the tokens that may be spent) is kept by
+/// the caller, who passes it in and takes the new one.
 class ShareBucket {
 public:
     ShareBucket(std::uint32_t rate, std::uint32_t burst, TimePoint now);
@@ -43,11 +46,17 @@
     std::int64_t setHome(std::uint64_t units, TimePoint validUntil, std::int64_t level);
     /// Lends up to `wanted` units that `demand` (requests a second) does not need, and takes their tokens off `level`.
     /// Nothing if there is nothing to spare. Call `advance` first.
-    std::optional<ShareLoan> lend(
-        TimePoint now, std::uint64_t wanted, Milliseconds duration, double demand, std::int64_t& level);
+    std::optional<ShareLoan> lend(std::uint64_t id, TimePoint now, std::uint64_t wanted, Milliseconds duration,
+        double demand, std::int64_t& level);
     /// Takes in a loan that was asked for at `askedAt`. The caller makes sure that each is taken in once.
     std::int64_t borrow(TimePoint askedAt, TimePoint now, const ShareLoan&, std::int64_t level);
 
+    /// Gives back loans without which `needed` units are still held, and takes their tokens off `level`. The borrower
+    /// has debited before it sends; a return that is lost ends with its loan. Call `advance` first.
+    std::vector<ShareLoan> giveBack(std::uint64_t needed, std::int64_t& level);
+    /// Takes back a loan; one that has ended or was taken back before changes nothing. Call `advance` first.
+    std::int64_t takeBack(std::uint64_t id, std::int64_t milliTokens, std::int64_t level);
+
     /// Units held at present.
     std::uint64_t units() const;
     /// Units that will still be held at `then`, as far as is known.
@@ -62,6 +71,7 @@
 
 private:
     struct Term {
+        std::uint64_t id;
         std::uint64_t units;
         TimePoint end;
     };
--- a/src/libcore/share_bucket.cpp
+++ b/src/libcore/share_bucket.cpp
@@ -131,7 +131,7 @@
 }
 
 std::optional<ShareLoan> ShareBucket::lend(
-    TimePoint now, std::uint64_t wanted, Milliseconds duration, double demand, std::int64_t& level)
+    std::uint64_t id, TimePoint now, std::uint64_t wanted, Milliseconds duration, double demand, std::int64_t& level)
 {
     Duration counted = duration + duration / lenderMarginDivisor;
     // What is lent has to be back before the lease on it ends, or another holder could have it twice.
@@ -150,12 +150,12 @@
     auto tokens
         = static_cast<std::int64_t>(static_cast<unsigned __int128>(std::max<std::int64_t>(level, 0)) * given / own);
     std::int64_t before = this->capacity();
-    this->lent.push_back({ given, now + counted });
+    this->lent.push_back({ id, given, now + counted });
     std::int64_t left = this->capacity();
     // The level that stays must fit into the units that stay, and what goes into those that go.
     tokens = std::min(std::max(tokens, level - left), before - left);
     level = this->keep(std::min(level - tokens, left));
-    return ShareLoan { given, tokens, duration };
+    return ShareLoan { id, given, tokens, duration };
 }
 
 std::int64_t ShareBucket::borrow(TimePoint askedAt, TimePoint now, const ShareLoan& loan, std::int64_t level)
@@ -163,8 +163,41 @@
     TimePoint end = askedAt + loan.duration;
     if (end <= now)
         return level;
-    this->borrowed.push_back({ loan.units, end });
+    this->borrowed.push_back({ loan.id, loan.units, end });
     return this->keep(std::min(level + loan.milliTokens, this->capacity()));
 }
 
+std::vector<ShareLoan> ShareBucket::giveBack(std::uint64_t needed, std::int64_t& level)
+{
+    std::vector<ShareLoan> returned;
+    for (std::size_t i = 0; i < this->borrowed.size();) {
+        Term term = this->borrowed[i];
+        std::uint64_t own = this->units();
+        if (own < needed + term.units) {
+            ++i;
+            continue;
+        }
+        std::int64_t before = this->capacity();
+        this->borrowed.erase(this->borrowed.begin() + static_cast<std::ptrdiff_t>(i));
+        std::int64_t left = this->capacity();
+        // At least what no longer fits goes with the units, and no more than fits into them.
+        std::int64_t share = level * static_cast<std::int64_t>(term.units) / static_cast<std::int64_t>(own);
+        std::int64_t tokens = std::min(std::max(share, level - left), before - left);
+        level = std::min(level - tokens, left);
+        returned.push_back({ term.id, term.units, tokens, {} });
+    }
+    this->keep(level);
+    return returned;
+}
+
+std::int64_t ShareBucket::takeBack(std::uint64_t id, std::int64_t milliTokens, std::int64_t level)
+{
+    auto term
+        = std::find_if(this->lent.begin(), this->lent.end(), [id](const Term& lentTerm) { return lentTerm.id == id; });
+    if (term == this->lent.end())
+        return level;
+    this->lent.erase(term);
+    return this->keep(std::min(level + milliTokens, this->capacity()));
+}
+
 } // namespace catkinlock
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -30,6 +30,9 @@
     constexpr double demandTimeConstantSeconds = 0.3;
     // A borrower holds this many times what its demand takes.
     constexpr double borrowMargin = 1.1;
+    // It gives back what is over this many times its demand.
+    constexpr double surplusMargin = 1.3;
+    constexpr std::size_t mostKnownLenders = 256;
 
 } // namespace
 
@@ -57,6 +60,8 @@
     TimePoint measuredAt;
     std::map<std::string, Asked> asked;
     std::map<std::string, TimePoint> askAgainAt;
+    // Address of the lender of each loan that is held.
+    std::map<std::uint64_t, std::string> lenders;
     std::size_t turn = 0;
 };
 
@@ -191,6 +196,7 @@
             if (idle && !ending)
                 continue;
             this->refill(*account, now);
+            this->giveBackSurplus(name, *account, now);
             this->borrowFor(name, *account, now);
         }
     }
@@ -208,6 +214,29 @@
     account.measuredAt = now;
 }
 
+// A session that has roamed elsewhere needs there what it left here.
+void Admission::giveBackSurplus(const std::string& workspace, Account& account, TimePoint now)
+{
+    std::uint64_t needed = account.bucket.unitsFor(account.demand * surplusMargin);
+    std::vector<ShareLoan> returned;
+    this->change(account, now, [&](ShareBucket& bucket, std::int64_t level) {
+        returned = bucket.giveBack(needed, level);
+        return level;
+    });
+    for (const ShareLoan& loan : returned) {
+        wire::Envelope envelope;
+        wire::LoanReturn& message = *envelope.mutable_loan_return();
+        message.set_workspace(workspace);
+        message.set_loan(loan.id);
+        message.set_tokens_milli(static_cast<std::uint64_t>(std::max<std::int64_t>(loan.milliTokens, 0)));
+        this->link->send(account.lenders[loan.id], envelope);
+        account.lenders.erase(loan.id);
+    }
+    // Lenders of loans that ended on their own are forgotten in time.
+    if (account.lenders.size() > mostKnownLenders)
+        account.lenders.erase(account.lenders.begin());
+}
+
 void Admission::borrowFor(const std::string& workspace, Account& account, TimePoint now)
 {
     std::uint64_t have = account.bucket.unitsAt(now + renewAhead);
@@ -248,9 +277,10 @@
     if (found != this->accounts.end()) {
         Account& account = *found->second;
         TimePoint now = Clock::now();
+        std::uint64_t id = ++this->nextLoanId;
         this->refill(account, now);
         this->change(account, now, [&](ShareBucket& bucket, std::int64_t level) {
-            loan = bucket.lend(now, request.wanted_units(), duration, account.demand, level);
+            loan = bucket.lend(id, now, request.wanted_units(), duration, account.demand, level);
             return level;
         });
     }
@@ -259,6 +289,7 @@
     reply.set_id(request.id());
     reply.set_workspace(request.workspace());
     if (loan) {
+        reply.set_loan(loan->id);
         reply.set_units(loan->units);
         reply.set_tokens_milli(static_cast<std::uint64_t>(loan->milliTokens));
         reply.set_duration_ms(static_cast<std::uint32_t>(loan->duration.count()));
@@ -267,7 +298,7 @@
     this->link->send(sender, envelope);
 }
 
-void Admission::receiveLoanReply(const wire::LoanReply& reply)
+void Admission::receiveLoanReply(const std::string& sender, const wire::LoanReply& reply)
 {
     auto found = this->accounts.find(reply.workspace());
     if (found == this->accounts.end())
@@ -281,13 +312,25 @@
     TimePoint now = Clock::now();
     if (!reply.units())
         account.askAgainAt[asked->first] = now + askAgainAfterNothing;
-    ShareLoan loan { reply.units(), static_cast<std::int64_t>(reply.tokens_milli()),
+    ShareLoan loan { reply.loan(), reply.units(), static_cast<std::int64_t>(reply.tokens_milli()),
         Milliseconds(reply.duration_ms()) };
     TimePoint askedAt = asked->second.at;
     account.asked.erase(asked);
-    if (loan.units)
-        this->change(account, now,
-            [&](ShareBucket& bucket, std::int64_t level) { return bucket.borrow(askedAt, now, loan, level); });
+    if (!loan.units)
+        return;
+    account.lenders[loan.id] = sender;
+    this->change(account, now,
+        [&](ShareBucket& bucket, std::int64_t level) { return bucket.borrow(askedAt, now, loan, level); });
+}
+
+void Admission::receiveLoanReturn(const wire::LoanReturn& message)
+{
+    auto found = this->accounts.find(message.workspace());
+    if (found == this->accounts.end())
+        return;
+    this->change(*found->second, Clock::now(), [&](ShareBucket& bucket, std::int64_t level) {
+        return bucket.takeBack(message.loan(), static_cast<std::int64_t>(message.tokens_milli()), level);
+    });
 }
 
 } // namespace catkinlock
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -18,6 +18,7 @@
 namespace catkinlock::wire {
 class LoanRequest;
 class LoanReply;
+class LoanReturn;
 }
 
 namespace catkinlock {
@@ -44,7 +45,8 @@
     void start();
     void stop() { this->stopped = true; }
     void receiveLoanRequest(const std::string& sender, const wire::LoanRequest&);
-    void receiveLoanReply(const wire::LoanReply&);
+    void receiveLoanReply(const std::string& sender, const wire::LoanReply&);
+    void receiveLoanReturn(const wire::LoanReturn&);
 
     std::uint64_t admitted() const { return this->admittedCount.load(); }
     std::uint64_t refused() const { return this->refusedCount.load(); }
@@ -64,6 +66,7 @@
 
     boost::asio::awaitable<void> tick();
     void refill(Account&, TimePoint now);
+    void giveBackSurplus(const std::string& workspace, Account&, TimePoint now);
     void borrowFor(const std::string& workspace, Account&, TimePoint now);
     template <typename Change> void change(Account&, TimePoint now, Change);
 
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -200,7 +200,9 @@
     case wire::Envelope::kLoanRequest:
         return this->admission->receiveLoanRequest(sender, envelope.loan_request());
     case wire::Envelope::kLoanReply:
-        return this->admission->receiveLoanReply(envelope.loan_reply());
+        return this->admission->receiveLoanReply(sender, envelope.loan_reply());
+    case wire::Envelope::kLoanReturn:
+        return this->admission->receiveLoanReturn(envelope.loan_return());
     case wire::Envelope::kTableRequest: {
         wire::Envelope answer;
         *answer.mutable_table_update() = this->config->answer(envelope.table_request());
--- a/testsuite/demo/demo.cpp
+++ b/testsuite/demo/demo.cpp
@@ -36,7 +36,8 @@
     reading.session = written.session;
     auto read = fleet.caller(1).run("rosters", select, { "couple" }, reading);
     kept &= check(read.isDone() && read.values.size() == 1,
-        fmt::format("the same session reads it back through entry-1, from {}", read.fromReplica ? "a replica" : "the primary"));
+        fmt::format(
+            "the same session reads it back through entry-1, from {}", read.fromReplica ? "a replica" : "the primary"));
     std::size_t lost = fleet.primary(0);
     fleet.member(0, lost).kill();
     fmt::print("        member-{} was the primary and is killed\n", lost);
