--- a/src/include/catkinlock/group_gateway.h
+++ b/src/include/catkinlock/group_gateway.h
@@ -47,7 +47,10 @@
 public:
     using Log = std::function<void(const std::string& event, const std::string& detail)>;
 
-    GroupGateway(boost::asio::any_io_executor, Database, GatewayOptions, Log);
+    /// Asks the database's other gateways whether they reach its primary.
+    using AskOthers = std::function<void()>;
+
+    GroupGateway(boost::asio::any_io_executor, Database, GatewayOptions, Log, AskOthers);
     ~GroupGateway();
 
     void start();
@@ -55,8 +58,8 @@
     /// Sets this instance's share of the bound on connections to each member, and its rank among the group's gateways.
     /// May be called from any thread.
     void setShare(std::size_t connections, unsigned rank);
-    /// Notes that another gateway reached the primary. May be called from any thread.
-    void noteReachedByOther();
+    /// Notes that another gateway reaches the primary of `term`. May be called from any thread.
+    void noteReachedByOther(std::uint64_t term);
 
     /// Runs a request to its outcome. Never takes longer than its deadline by more than a control timeout.
     boost::asio::awaitable<DatabaseResult> execute(DatabaseRequest);
@@ -78,6 +81,8 @@
     boost::asio::awaitable<void> carryOut(FailoverAction);
     void perform(const std::vector<FailoverAction>&);
     void publish();
+    bool isReachedByOthers() const;
+    void askOthersIfCutOff(TimePoint now);
 
     boost::asio::awaitable<DatabaseResult> executeHere(DatabaseRequest);
     boost::asio::awaitable<DatabaseResult> read(const DatabaseRequest&);
@@ -98,6 +103,8 @@
     Database description;
     GatewayOptions options;
     Log log;
+    AskOthers askOthers;
+    TimePoint askedOthersAt;
     GroupState state;
     Failover failover;
     Notifier changed;
--- a/src/libcore/failover_test.cpp
+++ b/src/libcore/failover_test.cpp
@@ -66,6 +66,29 @@
         EXPECT_EQ(runGroupScenario(seed, { { Fault::PrimaryFrozenShortly, Step::Acknowledged, 30 } }).terms, 1u);
 }
 
+// One watcher misses a primary that its replicas hear. Whether it replaces it depends on what the others reach.
+TEST(Failover, AWatcherThatAloneMissesAPrimaryLeavesItToTheOthers)
+{
+    using namespace catkinlock;
+    auto replaces = [](bool reachedByOthers) {
+        TimePoint start(Milliseconds(1000));
+        GroupState group(3, start);
+        Failover failover(3, {}, start);
+        group.observe(0, { true, 2, { 2, 5 }, 2, 5, 0 }, start, start);
+        for (int ms = 0; ms < 5000; ms += 100) {
+            TimePoint now = start + Milliseconds(ms);
+            group.observe(1, { false, 2, { 2, 5 }, 2, 5, 20 }, now, now);
+            group.observe(2, { false, 2, { 2, 5 }, 2, 5, 20 }, now, now);
+            group.noteFailure(0, now);
+            if (!failover.tick(group, now, 0, reachedByOthers, 0.5).empty())
+                return true;
+        }
+        return false;
+    };
+    EXPECT_FALSE(replaces(true));
+    EXPECT_TRUE(replaces(false));
+}
+
 TEST(Failover, CheckerSeesAcknowledgementsWithoutAMajority)
 {
     Mutation mutation;
--- a/src/libcore/routing_view.cpp
+++ b/src/libcore/routing_view.cpp
@@ -2,12 +2,30 @@
 
 #include "catkinlock/rendezvous.h"
 #include <algorithm>
+#include <unordered_map>
 
 namespace catkinlock {
 
+namespace {
+
+    // Ranked slots that a thread remembers; past this many databases it starts anew.
+    constexpr std::size_t mostRemembered = 8192;
+
+} // namespace
+
 std::vector<std::uint32_t> gatewaySlots(const std::string& database, std::uint32_t slotCount)
 {
-    return rankSlots(database, slotCount, gatewaysPerDatabase);
+    // Ranking takes a hash for every slot, and the request path asks for the same databases again and again.
+    static thread_local std::unordered_map<std::string, std::vector<std::uint32_t>> remembered;
+    static thread_local std::uint32_t rememberedCount = 0;
+    if (rememberedCount != slotCount || remembered.size() > mostRemembered) {
+        remembered.clear();
+        rememberedCount = slotCount;
+    }
+    auto [place, isNew] = remembered.try_emplace(database);
+    if (isNew)
+        place->second = rankSlots(database, slotCount, gatewaysPerDatabase);
+    return place->second;
 }
 
 std::vector<GatewayChoice> RoutingView::gatewaysFor(const std::string& database) const
--- a/src/libserver/gateway_registry.cpp
+++ b/src/libserver/gateway_registry.cpp
@@ -6,12 +6,22 @@
 
 namespace catkinlock {
 
-GatewayRegistry::GatewayRegistry(boost::asio::any_io_executor requests, GatewayOptions options)
+GatewayRegistry::GatewayRegistry(boost::asio::any_io_executor requests, GatewayOptions options, AskOthers askOthers)
     : requests(std::move(requests))
     , options(options)
+    , askOthers(std::move(askOthers))
 {
 }
 
+std::shared_ptr<GroupGateway> GatewayRegistry::makeGateway(const std::string& name, const Database& database) const
+{
+    auto log = [](const std::string& event, const std::string& detail) {
+        writeLog(LogLevel::Warning, event, { { "detail", detail } });
+    };
+    return std::make_shared<GroupGateway>(boost::asio::make_strand(this->requests), database, this->options, log,
+        [ask = this->askOthers, name] { ask(name); });
+}
+
 void GatewayRegistry::update(const Tables& tables, const std::set<std::uint32_t>& slots, std::uint32_t slotCount)
 {
     Gateways before = *this->gateways.read();
@@ -32,11 +42,7 @@
                 continue;
             auto existing = before.find(name);
             bool keeps = existing != before.end() && existing->second->database() == database;
-            auto gateway = keeps ? existing->second
-                                 : std::make_shared<GroupGateway>(boost::asio::make_strand(this->requests), database,
-                                     this->options, [](const std::string& event, const std::string& detail) {
-                                         writeLog(LogLevel::Warning, event, { { "detail", detail } });
-                                     });
+            auto gateway = keeps ? existing->second : this->makeGateway(name, database);
             if (!keeps)
                 gateway->start();
             gateway->setShare(database.connections * held / ranked.size(), static_cast<unsigned>(rank));
--- a/src/libserver/gateway_registry.h
+++ b/src/libserver/gateway_registry.h
@@ -4,6 +4,7 @@
 #include "catkinlock/rcu_snapshot.h"
 #include "catkinlock/tables.h"
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -16,7 +17,10 @@
 public:
     using Gateways = std::map<std::string, std::shared_ptr<GroupGateway>>;
 
-    GatewayRegistry(boost::asio::any_io_executor requests, GatewayOptions);
+    /// Asks the other gateways of "POOL/DATABASE" whether they reach its primary. Called on any thread.
+    using AskOthers = std::function<void(const std::string& database)>;
+
+    GatewayRegistry(boost::asio::any_io_executor requests, GatewayOptions, AskOthers);
 
     /// Brings the gateways in line with the pools and with the slots that this instance holds.
     void update(const Tables&, const std::set<std::uint32_t>& slots, std::uint32_t slotCount);
@@ -26,8 +30,11 @@
     void stopAll();
 
 private:
+    std::shared_ptr<GroupGateway> makeGateway(const std::string& name, const Database&) const;
+
     boost::asio::any_io_executor requests;
     GatewayOptions options;
+    AskOthers askOthers;
     RcuSnapshot<Gateways> gateways;
 };
 
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -34,7 +34,7 @@
     constexpr Milliseconds platformTimeout { 2000 };
     constexpr Milliseconds houseKeepingInterval { 500 };
     constexpr Milliseconds firstListInterval { 1000 };
-    constexpr Milliseconds longestListInterval { 60000 };
+    constexpr Milliseconds longestListInterval { 600000 };
     // Time for callers' balancer and for peers to learn that the instance leaves, before it stops to accept.
     constexpr Milliseconds unlistTime { 1500 };
     constexpr Milliseconds drainStep { 20 };
@@ -60,6 +60,8 @@
     void slotsChanged(const std::set<std::uint32_t>&, TimePoint validUntil);
     void membershipChanged();
     void publishRouting();
+    void askGateways(const std::string& database);
+    void answerGateway(const std::string& sender, const std::string& database);
     bool isRelay() const;
     std::size_t fleetSize() const;
     asio::awaitable<void> keepHouse();
@@ -105,7 +107,10 @@
     options.replicaWait = Milliseconds(this->settings.replicaWaitMs);
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
     this->platform = std::make_shared<PlatformClient>(this->control, this->settings.platformAddress, platformTimeout);
-    this->registry = std::make_shared<GatewayRegistry>(this->requests.get_executor(), options);
+    this->registry = std::make_shared<GatewayRegistry>(
+        this->requests.get_executor(), options, [this](const std::string& database) {
+            asio::post(this->control, [this, database] { this->askGateways(database); });
+        });
 }
 
 bool Instance::Parts::open()
@@ -209,12 +214,37 @@
         this->link->send(sender, answer);
         return;
     }
+    case wire::Envelope::kGroupQuery:
+        return this->answerGateway(sender, envelope.group_query().database());
+    case wire::Envelope::kGroupNote:
+        if (auto gateway = this->registry->find(envelope.group_note().database()))
+            gateway->noteReachedByOther(envelope.group_note().term());
+        return;
     case wire::Envelope::BODY_NOT_SET:
         // A later release's message; this one has no use for it.
         return;
     }
 }
 
+void Instance::Parts::askGateways(const std::string& database)
+{
+    wire::Envelope envelope;
+    envelope.mutable_group_query()->set_database(database);
+    for (const GatewayChoice& choice : this->routing->read()->gatewaysFor(database)) {
+        if (!choice.isSelf)
+            this->link->send(choice.address, envelope);
+    }
+}
+
+void Instance::Parts::answerGateway(const std::string& sender, const std::string& database)
+{
+    auto gateway = this->registry->find(database);
+    wire::Envelope envelope;
+    envelope.mutable_group_note()->set_database(database);
+    envelope.mutable_group_note()->set_term(gateway && gateway->reachesPrimary() ? gateway->term() : 0);
+    this->link->send(sender, envelope);
+}
+
 bool Instance::Parts::isRelay() const
 {
     for (std::uint32_t slot : rankSlots(relayName, this->settings.slots, relayCount)) {
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -13,6 +13,9 @@
 namespace {
 
     constexpr Milliseconds keepInterval { 250 };
+    // Time to learn of the other instances before the first claim. One that claims alone has to give most of it back,
+    // and each change of hands costs the fleet a round of gossip.
+    constexpr Milliseconds learningTime { 1200 };
     // The holder stops this part of the lease early, for clocks that run at different speeds.
     constexpr int leaseMarginDivisor = 20;
     // The lease is renewed after this part of it.
@@ -67,7 +70,7 @@
     auto self = this->shared_from_this();
     asio::steady_timer timer(this->context);
     Milliseconds claimPause = firstClaimPause;
-    TimePoint claimAt = Clock::now();
+    TimePoint claimAt = Clock::now() + learningTime;
     while (!this->leaving) {
         this->dropIfOver();
         if (Clock::now() >= this->renewAt && !co_await this->renew())
--- a/src/libtarget/group_gateway.cpp
+++ b/src/libtarget/group_gateway.cpp
@@ -15,6 +15,7 @@
     constexpr Milliseconds reconnectPause { 50 };
     // How long another gateway's word that it reached the primary counts.
     constexpr Milliseconds reachedByOtherLifetime { 2000 };
+    constexpr Milliseconds askOthersInterval { 500 };
     // Longest time that a member is asked to hold back its answer until a position is reached.
     constexpr Milliseconds awaitLimit { 200 };
     // An answer may hold the columns of a status only.
@@ -45,11 +46,14 @@
 
 } // namespace
 
-GroupGateway::GroupGateway(asio::any_io_executor executor, Database database, GatewayOptions options, Log log)
+GroupGateway::GroupGateway(
+    asio::any_io_executor executor, Database database, GatewayOptions options, Log log, AskOthers askOthers)
     : executor(executor)
     , description(std::move(database))
     , options(options)
     , log(std::move(log))
+    , askOthers(std::move(askOthers))
+    , askedOthersAt(Clock::now())
     , state(this->description.members.size(), Clock::now())
     , failover(this->description.members.size(), options.failover, Clock::now())
     , changed(executor)
@@ -98,7 +102,28 @@
     });
 }
 
-void GroupGateway::noteReachedByOther() { this->reachedByOtherAt.store(Clock::now()); }
+void GroupGateway::noteReachedByOther(std::uint64_t term)
+{
+    if (term && term == this->knownTerm.load())
+        this->reachedByOtherAt.store(Clock::now());
+}
+
+bool GroupGateway::isReachedByOthers() const
+{
+    return Clock::now() - this->reachedByOtherAt.load() < reachedByOtherLifetime;
+}
+
+// Only a gateway that misses the primary asks, so that sound groups cost no message.
+void GroupGateway::askOthersIfCutOff(TimePoint now)
+{
+    auto primary = this->state.primary();
+    bool cutOff = primary && this->state.view(*primary).failures
+        && now - this->state.view(*primary).answeredAt >= this->options.failover.suspectAfter;
+    if (!cutOff || now - this->askedOthersAt < askOthersInterval)
+        return;
+    this->askedOthersAt = now;
+    this->askOthers();
+}
 
 asio::awaitable<void> GroupGateway::watchMember(std::size_t member)
 {
@@ -173,10 +198,10 @@
         timer.expires_after(failoverTick);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         TimePoint now = Clock::now();
-        bool reachedByOthers = now - this->reachedByOtherAt.load() < reachedByOtherLifetime;
+        this->askOthersIfCutOff(now);
         double jitter = std::uniform_real_distribution<double>(0, 1)(this->random);
         bool wasElecting = this->failover.electing();
-        auto actions = this->failover.tick(this->state, now, this->rank, reachedByOthers, jitter);
+        auto actions = this->failover.tick(this->state, now, this->rank, this->isReachedByOthers(), jitter);
         if (!wasElecting && this->failover.electing()) {
             ++this->counters.elections;
             this->log("election_started", fmt::format("database {} term {}", this->description.name, actions[0].term));
@@ -251,7 +276,8 @@
         auto primary = this->state.primary();
         if (primary && !this->state.view(*primary).failures)
             co_return primary;
-        if (Clock::now() >= deadline || this->stopped)
+        // Where another gateway reaches the primary, the request is better off there.
+        if (Clock::now() >= deadline || this->stopped || this->isReachedByOthers())
             co_return std::nullopt;
         co_await this->changed.wait(deadline);
     }
