Let idle instances stop borrowing; count peer bytes by kind

The peer traffic of a quiet fleet grew with its size: 845 B/s an instance at 8, 1,311 at 16. Ruled out by counts of bytes by kind: pings, acks and membership exchanges (constant). The cause: the end of a loan woke an idle account, which found its level empty and borrowed anew, for ever (316 B/s of loan replies an instance at 16). An account without arrivals no longer borrows.

--- a/src/bench/capacity.cpp
+++ b/src/bench/capacity.cpp
@@ -14,8 +14,8 @@
 namespace {
 
     // Time for the gossip of a start to end; the costs after it are what a quiet fleet pays.
-constexpr double gossipSettleSeconds = 45;
-constexpr double settleSeconds = 12;
+    constexpr double gossipSettleSeconds = 45;
+    constexpr double settleSeconds = 12;
     constexpr double measuredSeconds = 10;
 
     double platformCalls(const Fleet& fleet)
--- a/src/include/catkinlock/peer_link.h
+++ b/src/include/catkinlock/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -36,6 +37,10 @@
     /// on the context's thread.
     bool send(const std::string& address, wire::Envelope&);
 
+    /// Kinds of messages by their number in peer.proto, and their names.
+    static constexpr std::size_t kindCount = 32;
+    static std::string kindName(std::size_t kind);
+    std::uint64_t bytesSentOfKind(std::size_t kind) const { return this->sentByKind[kind].load(); }
     std::uint64_t bytesSent() const { return this->sentBytes.load(); }
     std::uint64_t bytesReceived() const { return this->receivedBytes.load(); }
     std::uint64_t messagesRejected() const { return this->rejected.load(); }
@@ -51,6 +56,7 @@
     std::string secret;
     std::string ownAddress;
     Handler handler;
+    std::array<std::atomic<std::uint64_t>, kindCount> sentByKind {};
     std::atomic<std::uint64_t> sentBytes { 0 };
     std::atomic<std::uint64_t> receivedBytes { 0 };
     std::atomic<std::uint64_t> rejected { 0 };
--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -141,6 +141,12 @@
     this->waitForMessages();
 }
 
+std::string PeerLink::kindName(std::size_t kind)
+{
+    const auto* field = wire::Envelope::descriptor()->FindFieldByNumber(static_cast<int>(kind));
+    return field && kind ? field->name() : "";
+}
+
 bool PeerLink::send(const std::string& address, wire::Envelope& envelope)
 {
     envelope.set_version(protocolVersion);
@@ -149,8 +155,10 @@
     std::string sealed = hmacSha256(body, this->secret) + body;
     try {
         auto sent = this->sockets->to(address).send(zmq::buffer(sealed), zmq::send_flags::dontwait);
-        if (sent)
+        if (sent) {
             this->sentBytes += sealed.size();
+            this->sentByKind[static_cast<std::size_t>(envelope.body_case()) % kindCount] += sealed.size();
+        }
         return sent.has_value();
     } catch (const zmq::error_t&) {
         return false;
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -27,6 +27,8 @@
     constexpr Milliseconds askAgainAfterNothing { 60 };
     // Lenders that are asked at once.
     constexpr std::size_t mostAsked = 4;
+    // Requests a second below which a workspace counts as idle here.
+    constexpr double idleDemand = 0.01;
     constexpr double demandTimeConstantSeconds = 0.3;
     // A borrower holds this many times what its demand takes.
     constexpr double borrowMargin = 1.1;
@@ -191,7 +193,7 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         TimePoint now = Clock::now();
         for (auto& [name, account] : this->accounts) {
-            bool idle = account->purse->arrivals.load() == account->arrivalsSeen && account->demand < 0.01;
+            bool idle = account->purse->arrivals.load() == account->arrivalsSeen && account->demand < idleDemand;
             bool ending = account->bucket.validUntil() <= now;
             if (idle && !ending)
                 continue;
@@ -239,6 +241,9 @@
 
 void Admission::borrowFor(const std::string& workspace, Account& account, TimePoint now)
 {
+    // Without this an idle instance would renew its last loan for ever.
+    if (account.demand < idleDemand)
+        return;
     std::uint64_t have = account.bucket.unitsAt(now + renewAhead);
     // Enough for the demand, and for at least one token's burst.
     std::uint64_t wanted = account.bucket.unitsFor(account.demand * borrowMargin);
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -461,6 +461,11 @@
         { "control_cpu_seconds_total", "Processor time of the control thread", this->controlCpuSeconds.load(), true },
         { "process_cpu_seconds_total", "Processor time of the process", processCpuSeconds(), true },
     };
+    for (std::size_t kind = 0; kind < PeerLink::kindCount; ++kind) {
+        if (std::uint64_t bytes = this->link->bytesSentOfKind(kind))
+            metrics.push_back({ "peer_bytes_sent_by_kind_total", "Bytes sent to peers by kind of message", count(bytes),
+                true, "kind", PeerLink::kindName(kind) });
+    }
     auto gateways = this->registry->all();
     for (const auto& [name, gateway] : *gateways) {
         const GatewayCounters& counters = gateway->counters;
