Deliver watched edits at once; confirm stale tables by a small read

The watch on the platform never delivered: a whole read of the answer returned only once its 16 KiB buffer was full, so edits arrived by the relays' one-second confirmation alone.

An instance whose tables nobody confirms reads the last edit's revision, and the tables only if that is newer; before it read all tables, which at 64 instances came to 12 calls/s of the platform. Staleness is 5 s (was 3), keys are refused after 8 s (was 6).

--- a/src/bench/request_path.cpp
+++ b/src/bench/request_path.cpp
@@ -82,9 +82,10 @@
         double before = residentBytes(fleet.instance(0).pid());
         std::string address = fleet.httpAddress(0);
         auto port = static_cast<std::uint16_t>(std::stoul(address.substr(address.rfind(':') + 1)));
-        for (std::size_t i = 0; i < idleConnections; ++i) {
-            sockets.emplace_back(context);
-            sockets.back().connect({ boost::asio::ip::address_v4::loopback(), port });
+        while (sockets.size() < idleConnections) {
+            boost::asio::ip::tcp::socket socket(context);
+            socket.connect({ boost::asio::ip::address_v4::loopback(), port });
+            sockets.push_back(std::move(socket));
         }
         pause(1);
         double after = residentBytes(fleet.instance(0).pid());
--- a/src/libplatform/platform_client.cpp
+++ b/src/libplatform/platform_client.cpp
@@ -271,9 +271,10 @@
     std::string chunk(16384, '\0');
     while (!parser.is_done()) {
         connection.stream.expires_after(silence);
+        // Returns with each piece; a whole read would wait until the buffer is full.
         parser.get().body().data = chunk.data();
         parser.get().body().size = chunk.size();
-        auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asResult());
+        auto [error, size] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asResult());
         if (error && error != http::error::need_buffer)
             co_return notSent("the watch broke: " + error.message());
         pending.append(chunk, 0, chunk.size() - parser.get().body().size);
--- a/src/libserver/config_follower.cpp
+++ b/src/libserver/config_follower.cpp
@@ -42,7 +42,7 @@
     asio::co_spawn(
         this->context, [self] { return self->follow(); }, asio::detached);
     asio::co_spawn(
-        this->context, [self] { return self->confirm(); }, asio::detached);
+        this->context, [self] { return self->confirmAsRelay(); }, asio::detached);
 }
 
 asio::awaitable<void> ConfigFollower::sleep(Milliseconds time)
@@ -58,13 +58,18 @@
     Milliseconds readPause = firstReadPause;
     while (!this->stopped) {
         bool relays = this->hooks.isRelay();
-        bool stale = Clock::now() - this->freshness->confirmed() > ConfigFreshness::limit / 2;
+        bool stale = Clock::now() - this->freshness->confirmed() > ConfigFreshness::staleAfter;
         if (this->loaded && !relays && !stale) {
             readPause = firstReadPause;
             co_await this->sleep(followInterval);
             continue;
         }
-        if (co_await this->load()) {
+        bool reached = false;
+        if (this->loaded && !relays)
+            reached = co_await this->confirm();
+        else
+            reached = co_await this->load();
+        if (reached) {
             readPause = firstReadPause;
             if (relays)
                 co_await this->watch();
@@ -126,25 +131,30 @@
         writeLog(LogLevel::Warning, "watch_ended", { { "detail", end.message } });
 }
 
-// A watch that says nothing may be quiet or broken; a read of the last edit's revision tells.
-asio::awaitable<void> ConfigFollower::confirm()
+// A watch that says nothing may be quiet or broken; a small read of the last edit's revision tells. False if the
+// platform does not answer.
+asio::awaitable<bool> ConfigFollower::confirm()
+{
+    TimePoint askedAt = Clock::now();
+    auto edited = co_await this->platform->read(tablesEditedKey);
+    if (!edited)
+        co_return false;
+    std::int64_t newest = *edited ? (*edited)->revision : 0;
+    if (newest > this->revision())
+        co_await this->sleep(deliveryTime);
+    if (newest > this->revision())
+        co_return co_await this->load();
+    this->freshness->noteConfirmed(askedAt);
+    co_return true;
+}
+
+asio::awaitable<void> ConfigFollower::confirmAsRelay()
 {
     auto self = this->shared_from_this();
     while (!this->stopped) {
         co_await this->sleep(confirmInterval);
-        if (!this->loaded || !this->hooks.isRelay())
-            continue;
-        TimePoint askedAt = Clock::now();
-        auto edited = co_await this->platform->read(tablesEditedKey);
-        if (!edited)
-            continue;
-        std::int64_t newest = *edited ? (*edited)->revision : 0;
-        if (newest > this->revision())
-            co_await this->sleep(deliveryTime);
-        if (newest <= this->revision())
-            this->freshness->noteConfirmed(askedAt);
-        else
-            co_await this->load();
+        if (this->loaded && this->hooks.isRelay())
+            co_await this->confirm();
     }
 }
 
--- a/src/libserver/config_follower.h
+++ b/src/libserver/config_follower.h
@@ -50,7 +50,8 @@
     boost::asio::awaitable<void> follow();
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<void> watch();
-    boost::asio::awaitable<void> confirm();
+    boost::asio::awaitable<bool> confirm();
+    boost::asio::awaitable<void> confirmAsRelay();
     boost::asio::awaitable<void> sleep(Milliseconds);
     void accept(std::int64_t revision, const std::vector<TableEntry>&);
     std::vector<TableEntry> entriesOf(const std::vector<KeyValue>&) const;
--- a/src/libserver/config_freshness.h
+++ b/src/libserver/config_freshness.h
@@ -15,7 +15,9 @@
 class ConfigFreshness {
 public:
     /// Longest time for which tables count as fresh without a new confirmation.
-    static constexpr Milliseconds limit { 6000 };
+    static constexpr Milliseconds limit { 8000 };
+    /// An instance whose tables have not been confirmed for this long asks the platform itself.
+    static constexpr Milliseconds staleAfter { 5000 };
 
     void noteConfirmed(TimePoint asOf)
     {
--- a/testsuite/configuration/configuration.cpp
+++ b/testsuite/configuration/configuration.cpp
@@ -1,10 +1,13 @@
 // The operators' tables through the operators' client, while traffic runs and the platform fails.
 
 #include "catkinlock/digest.h"
+#include "catkinlock/platform_client.h"
 #include "standin/fleet.h"
+#include <boost/asio.hpp>
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace catkinlock::standin;
 
@@ -57,6 +60,32 @@
     EXPECT_NE(list.output.find("lookups"), std::string::npos);
 }
 
+// The watch itself tells of an edit, without the slower reads that confirm it.
+TEST(Configuration, AWatchDeliversAnEdit)
+{
+    Fleet::Options shape;
+    shape.instances = 0;
+    shape.databases = 0;
+    Fleet fleet(shape);
+    ASSERT_TRUE(fleet.start());
+    boost::asio::io_context context;
+    auto client = std::make_shared<catkinlock::PlatformClient>(
+        context, fleet.platformAddress(), std::chrono::milliseconds(2000));
+    std::string seen;
+    auto onAnswer = [&](std::int64_t, const std::vector<catkinlock::KeyValue>& changes) {
+        for (const catkinlock::KeyValue& change : changes)
+            seen = change.key;
+        if (!changes.empty())
+            context.stop();
+    };
+    auto watching = client->watch("/catkinlock/table/route/new", 1, std::chrono::milliseconds(5000), onAnswer);
+    boost::asio::co_spawn(context, std::move(watching), boost::asio::detached);
+    std::thread editor([&] { fleet.putTable("route/new", "{}"); });
+    context.run();
+    editor.join();
+    EXPECT_EQ(seen, "/catkinlock/table/route/new");
+}
+
 TEST(Configuration, FaultyEditsAreRefusedAtTheCommand)
 {
     Fleet fleet({});
