--- a/src/bench/request_path.cpp
+++ b/src/bench/request_path.cpp
@@ -60,8 +60,10 @@
         std::atomic<unsigned> done { 0 };
         double cpuBefore = cpuSeconds(fleet.instance(0).pid());
         double start = now();
+        constexpr std::size_t callerCount = 16;
         std::vector<std::thread> callers;
-        for (int i = 0; i < 16; ++i) {
+        callers.reserve(callerCount);
+        while (callers.size() < callerCount) {
             callers.emplace_back([&] {
                 Caller caller = fleet.caller(0);
                 while (now() - start < seconds)
