--- a/src/catkinlock/command.h
+++ b/src/catkinlock/command.h
@@ -31,6 +31,7 @@
 };
 
 int runServe(const CommandOptions&);
+int runFront(const CommandOptions&);
 int runCheck(const CommandOptions&);
 /// "route", "pool" and "workspace".
 int runTable(const CommandOptions&);
--- a/src/catkinlock/main.cpp
+++ b/src/catkinlock/main.cpp
@@ -13,8 +13,9 @@
     int (*run)(const CommandOptions&);
 };
 
-constexpr std::array<Command, 9> commands { {
+constexpr std::array<Command, 10> commands { {
     { "serve", &runServe },
+    { "front", &runFront },
     { "check", &runCheck },
     { "route", &runTable },
     { "pool", &runTable },
@@ -28,6 +29,7 @@
 constexpr const char* usage
     = "COMMAND [OPTIONS]\n\n"
       "  serve                                run an entry instance\n"
+      "  front                                run an instance that serves sessions\n"
       "  check                                check settings, and tables with --file\n"
       "  route|pool|workspace list            list the entries of a table\n"
       "  route|pool|workspace show NAME       show an entry and its revision\n"
--- a/src/include/catkinlock/tables.h
+++ b/src/include/catkinlock/tables.h
@@ -40,6 +40,16 @@
     auto operator<=>(const Pool&) const = default;
 };
 
+/// What a read on a route must see.
+enum class ReadConsistency {
+    /// Every acknowledged write.
+    Primary,
+    /// Every write acknowledged longer ago than the route's age.
+    BoundedAge,
+    /// The same, and every write of its own session.
+    ReadYourWrites,
+};
+
 /// A named way for callers to reach a pool.
 struct Route {
     std::string name;
@@ -54,6 +64,13 @@
     bool repeatable = false;
     /// Workspaces that may use the route; empty means all.
     std::vector<std::string> workspaces;
+    ReadConsistency consistency = ReadConsistency::Primary;
+    /// Longest time of one statement, in milliseconds; 0 means the instance's own limit.
+    std::uint32_t statementTimeoutMs = 0;
+    /// Latency that callers want of a whole operation, in milliseconds; 0 means none is stated.
+    std::uint32_t objectiveMs = 0;
+    /// 0 is served first.
+    std::uint32_t priority = 0;
 
     auto operator<=>(const Route&) const = default;
 };
@@ -117,6 +134,8 @@
     std::map<std::string, Workspace> workspaces;
     std::map<std::string, KeyRecord> keys;
     std::map<std::string, InstanceOrder> instances;
+    /// A transaction that its caller leaves idle for longer may be ended, in milliseconds; 0 means no limit.
+    std::uint32_t idleTransactionMs = 0;
     /// Every entry by key, deletions included, as peers and later snapshots need them.
     std::map<std::string, TableEntry> entries;
 
--- /dev/null
+++ b/src/libcore/front_settings.cpp
@@ -0,0 +1,48 @@
+#include "catkinlock/front_settings.h"
+
+#include "libcore/settings_reader.h"
+
+namespace catkinlock {
+
+namespace {
+
+    constexpr std::size_t leastSecretLength = 16;
+
+} // namespace
+
+tl::expected<FrontSettings, std::vector<Error>> parseFrontSettings(const std::string& text, const std::string& fileName)
+{
+    toml::table root;
+    try {
+        root = toml::parse(text, fileName);
+    } catch (const toml::parse_error& fault) {
+        auto message = fmt::format("{}:{}: {}", fileName, fault.source().begin.line, fault.description());
+        return tl::unexpected(std::vector<Error> { { message } });
+    }
+    FrontSettings settings;
+    SettingsReader reader(root, fileName);
+    reader.text("instance", "name", settings.name, true);
+    reader.text("instance", "data_centre", settings.dataCentre, true);
+    reader.address("instance", "callers", settings.callerAddress);
+    reader.address("instance", "ready", settings.readyAddress);
+    reader.text("instance", "ready_path", settings.readyPath, true);
+    reader.text("instance", "metrics", settings.metricsAddress, false);
+    reader.address("instance", "peer", settings.peerAddress);
+    reader.number("instance", "drain_seconds", settings.drainSeconds, 1, 600);
+    reader.text("platform", "adapter", settings.adapter, true);
+    reader.address("platform", "store", settings.storeAddress);
+    reader.address("platform", "promotions", settings.promotionAddress);
+    reader.text("fleet", "secret", settings.fleetSecret, true);
+    if (!settings.fleetSecret.empty() && settings.fleetSecret.size() < leastSecretLength)
+        reader.fail(reader.line("fleet", "secret"), "fleet", "secret",
+            fmt::format("must have at least {} characters", leastSecretLength));
+    reader.number("fleet", "slots", settings.slots, 1, 65536);
+    reader.number("fleet", "lease_seconds", settings.leaseSeconds, 2, 86400);
+    reader.number("fleet", "revocation_ms", settings.revocationMs, 500, 600000);
+    reader.refuseUnknown();
+    if (!reader.faults.empty())
+        return tl::unexpected(reader.faults);
+    return settings;
+}
+
+} // namespace catkinlock
--- a/src/libcore/log.cpp
+++ b/src/libcore/log.cpp
@@ -1,10 +1,12 @@
 #include "catkinlock/log.h"
 
+#include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
-#include <cstdio>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 namespace catkinlock {
 
@@ -30,8 +32,26 @@
         return "error";
     }
 
+    std::atomic<std::uint64_t>& droppedLines()
+    {
+        static std::atomic<std::uint64_t> dropped { 0 };
+        return dropped;
+    }
+
+    // A reader that is slow or gone costs lines, never time.
+    void writeWithoutBlocking(const std::string& text)
+    {
+        pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+        bool writable = poll(&output, 1, 0) == 1 && (output.revents & POLLOUT);
+        bool written = writable && write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+        if (!written)
+            ++droppedLines();
+    }
+
 } // namespace
 
+std::uint64_t logLinesDropped() { return droppedLines().load(); }
+
 void setLogInstance(const std::string& name) { instanceName() = name; }
 
 void writeLog(
@@ -46,7 +66,8 @@
         { "event", boost::json::string_view(event.data(), event.size()) } };
     for (const auto& [name, value] : members)
         line[boost::json::string_view(name.data(), name.size())] = value;
-    fmt::print(stderr, "{}\n", boost::json::serialize(line));
+    std::string text = boost::json::serialize(line) + "\n";
+    writeWithoutBlocking(text);
 }
 
 } // namespace catkinlock
--- /dev/null
+++ b/src/libplatform/http_client.cpp
@@ -0,0 +1,94 @@
+#include "libplatform/http_client.h"
+
+#include "catkinlock/address.h"
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+    constexpr std::size_t mostIdleConnections = 4;
+    constexpr std::uint64_t mostAnswerBytes = 64 << 20;
+
+    auto asResult() { return asio::as_tuple(asio::use_awaitable); }
+
+    PlatformError notSent(std::string message) { return { false, std::move(message) }; }
+    PlatformError maybeRun(std::string message) { return { true, std::move(message) }; }
+
+    http::request<http::string_body> makeRequest(const std::string& address, HttpCall call)
+    {
+        http::request<http::string_body> request(http::string_to_verb(call.method), call.target, 11);
+        request.set(http::field::host, address);
+        if (!call.body.empty())
+            request.set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : call.headers)
+            request.set(name, value);
+        request.body() = std::move(call.body);
+        request.prepare_payload();
+        return request;
+    }
+
+} // namespace
+
+struct HttpClient::Connection {
+    explicit Connection(asio::io_context& context)
+        : stream(context)
+    {
+    }
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+HttpClient::HttpClient(asio::io_context& context, std::string address)
+    : context(context)
+    , address(std::move(address))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<PlatformResult<HttpAnswer>> HttpClient::call(HttpCall call, Milliseconds timeout)
+{
+    auto self = this->shared_from_this();
+    ++this->callCount;
+    std::shared_ptr<Connection> connection;
+    if (!this->idle.empty()) {
+        connection = this->idle.back();
+        this->idle.pop_back();
+    }
+    if (!connection) {
+        connection = std::make_shared<Connection>(this->context);
+        connection->stream.expires_after(timeout);
+        auto [error] = co_await connection->stream.async_connect(parseAddress(this->address), asResult());
+        if (error)
+            co_return tl::unexpected(notSent("cannot reach the platform's service: " + error.message()));
+        boost::system::error_code ignored;
+        connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    connection->stream.expires_after(timeout);
+    auto request = makeRequest(this->address, std::move(call));
+    auto [writeError, written] = co_await http::async_write(connection->stream, request, asResult());
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(mostAnswerBytes);
+    boost::system::error_code error = writeError;
+    if (!error) {
+        auto [readError, size] = co_await http::async_read(connection->stream, connection->buffer, parser, asResult());
+        error = readError;
+    }
+    if (error)
+        co_return tl::unexpected(maybeRun("no answer of the platform's service: " + error.message()));
+    auto response = parser.release();
+    if (response.keep_alive() && this->idle.size() < mostIdleConnections)
+        this->idle.push_back(connection);
+    HttpAnswer answer;
+    answer.status = response.result_int();
+    answer.body = std::move(response.body());
+    co_return answer;
+}
+
+} // namespace catkinlock
--- a/src/libplatform/platform_client.cpp
+++ b/src/libplatform/platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/address.h"
 #include "catkinlock/digest.h"
+#include "libplatform/http_client.h"
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <boost/json.hpp>
@@ -16,9 +17,6 @@
 
 namespace {
 
-    constexpr std::size_t mostIdleConnections = 4;
-    constexpr std::uint64_t mostAnswerBytes = 64 << 20;
-
     // The smallest key that is past all keys with the prefix, as etcd's range_end.
     std::string endOfPrefix(std::string prefix)
     {
@@ -97,61 +95,38 @@
 
 } // namespace
 
-struct PlatformClient::Connection {
-    explicit Connection(asio::io_context& context)
-        : stream(context)
-    {
-    }
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-};
-
 PlatformClient::PlatformClient(asio::io_context& context, std::string address, Milliseconds timeout)
     : context(context)
     , address(std::move(address))
     , timeout(timeout)
+    , http(std::make_shared<HttpClient>(context, this->address))
 {
 }
 
 PlatformClient::~PlatformClient() = default;
 
+std::uint64_t PlatformClient::calls() const { return this->http->calls() + this->watchCount; }
+
 asio::awaitable<PlatformResult<std::string>> PlatformClient::call(std::string path, std::string body)
 {
-    auto self = this->shared_from_this();
-    ++this->callCount;
-    std::shared_ptr<Connection> connection;
-    while (!connection && !this->idle.empty()) {
-        connection = this->idle.back();
-        this->idle.pop_back();
-    }
-    bool fresh = !connection;
-    if (fresh) {
-        connection = std::make_shared<Connection>(this->context);
-        connection->stream.expires_after(this->timeout);
-        auto [error] = co_await connection->stream.async_connect(parseAddress(this->address), asResult());
-        if (error)
-            co_return tl::unexpected(notSent("cannot reach the platform's service: " + error.message()));
-    }
-    connection->stream.expires_after(this->timeout);
-    auto request = makeRequest(this->address, path, std::move(body));
-    auto [writeError, written] = co_await http::async_write(connection->stream, request, asResult());
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(mostAnswerBytes);
-    boost::system::error_code error = writeError;
-    if (!error) {
-        auto [readError, size] = co_await http::async_read(connection->stream, connection->buffer, parser, asResult());
-        error = readError;
-    }
-    if (error)
-        co_return tl::unexpected(maybeRun("no answer of the platform's service: " + error.message()));
-    auto response = parser.release();
-    if (response.keep_alive() && this->idle.size() < mostIdleConnections)
-        this->idle.push_back(connection);
-    if (response.result() != http::status::ok) {
+    HttpCall request;
+    request.method = "POST";
+    request.target = std::move(path);
+    request.body = std::move(body);
+    auto answer = co_await this->http->call(std::move(request), this->timeout);
+    if (!answer)
+        co_return tl::unexpected(answer.error());
+    if (answer->status != static_cast<unsigned>(http::status::ok)) {
         // The service says that it refused the call.
-        co_return tl::unexpected(notSent("the platform's service refused: " + response.body()));
+        co_return tl::unexpected(notSent("the platform's service refused: " + answer->body));
     }
-    co_return response.body();
+    co_return std::move(answer->body);
+}
+
+asio::awaitable<PlatformResult<SwapResult>> PlatformClient::swap(
+    std::string key, std::int64_t expected, std::optional<std::string> value, std::int64_t lease)
+{
+    return this->compareAndSwap(std::move(key), expected, std::move(value), lease);
 }
 
 asio::awaitable<PlatformResult<KeyRange>> PlatformClient::readPrefix(std::string prefix)
@@ -248,8 +223,11 @@
     Milliseconds silence, std::function<void(std::int64_t, const std::vector<KeyValue>&)> onAnswer)
 {
     auto self = this->shared_from_this();
-    ++this->callCount;
-    Connection connection(this->context);
+    ++this->watchCount;
+    struct {
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+    } connection { beast::tcp_stream(this->context), {} };
     connection.stream.expires_after(this->timeout);
     auto [connectError] = co_await connection.stream.async_connect(parseAddress(this->address), asResult());
     if (connectError)
--- a/src/libserver/forwarder.cpp
+++ b/src/libserver/forwarder.cpp
@@ -99,7 +99,7 @@
         co_return tl::unexpected(
             notRun("target_unreachable", "the instance that serves the database can't be reached"));
     }
-    entry->timer.expires_at(end + replyGrace);
+    entry->timer.expires_after(end + replyGrace - Clock::now());
     co_await entry->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     this->pending.erase(id);
     co_return std::move(entry->result);
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 SlotKeeper::SlotKeeper(
-    asio::io_context& context, std::shared_ptr<PlatformClient> platform, Options options, Hooks hooks)
+    asio::io_context& context, std::shared_ptr<MetadataStore> platform, Options options, Hooks hooks)
     : context(context)
     , platform(std::move(platform))
     , options(std::move(options))
@@ -153,7 +153,7 @@
     std::int64_t claimLease = this->lease;
     std::string value = boost::json::serialize(boost::json::object {
         { "instance", this->options.instance }, { "peer", this->options.peerAddress }, { "lease", claimLease } });
-    auto swapped = co_await this->platform->compareAndSwap(this->keyOf(slot), 0, value, claimLease);
+    auto swapped = co_await this->platform->swap(this->keyOf(slot), 0, value, claimLease);
     bool mine = swapped && swapped->swapped;
     if (!swapped && swapped.error().mayHaveRun) {
         // The answer is lost; the key tells who has the slot.
@@ -187,7 +187,7 @@
         auto found = co_await this->platform->read(this->keyOf(slot));
         bool mine = found && *found && this->lease == releaseLease;
         if (mine)
-            co_await this->platform->compareAndSwap(this->keyOf(slot), (*found)->revision, std::nullopt);
+            co_await this->platform->swap(this->keyOf(slot), (*found)->revision, std::nullopt, 0);
     }
 }
 
@@ -197,7 +197,7 @@
     this->leaving = true;
     this->slots.clear();
     this->announce();
-    asio::steady_timer timer(this->context, std::min(deadline, Clock::now() + releaseDelay));
+    asio::steady_timer timer(this->context, std::min<Duration>(deadline - Clock::now(), releaseDelay));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (this->lease)
         co_await this->platform->revokeLease(this->lease);
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "catkinlock/platform_client.h"
+#include "catkinlock/metadata_store.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
@@ -33,7 +33,7 @@
         std::function<bool(std::uint32_t)> isTaken;
     };
 
-    SlotKeeper(boost::asio::io_context&, std::shared_ptr<PlatformClient>, Options, Hooks);
+    SlotKeeper(boost::asio::io_context&, std::shared_ptr<MetadataStore>, Options, Hooks);
 
     void start();
     /// Gives all slots back; returns when that is done or `deadline` has passed.
@@ -53,7 +53,7 @@
     void announce();
 
     boost::asio::io_context& context;
-    std::shared_ptr<PlatformClient> platform;
+    std::shared_ptr<MetadataStore> platform;
     Options options;
     Hooks hooks;
     std::set<std::uint32_t> slots;
--- /dev/null
+++ b/src/libsession/fleet_view.cpp
@@ -0,0 +1,41 @@
+#include "libsession/fleet_view.h"
+
+namespace catkinlock {
+
+std::vector<TargetRecord> FleetView::membersOf(const std::string& service) const
+{
+    std::vector<TargetRecord> members;
+    for (const auto& [id, target] : this->targets) {
+        if (target.service == service)
+            members.push_back(target);
+    }
+    return members;
+}
+
+bool FleetView::isReplacing(const std::string& service) const
+{
+    auto record = this->groups.find(service);
+    return record != this->groups.end() && record->second.state == GroupRecord::State::Replacing;
+}
+
+std::optional<TargetRecord> FleetView::primaryOf(const std::string& service) const
+{
+    auto record = this->groups.find(service);
+    if (record != this->groups.end()) {
+        auto target = this->targets.find(record->second.primary);
+        bool usable = record->second.state == GroupRecord::State::Serving && target != this->targets.end();
+        return usable ? std::optional(target->second) : std::nullopt;
+    }
+    // Nobody has ever been promoted, so the members' own word holds if it is one word.
+    std::optional<TargetRecord> found;
+    for (const TargetRecord& target : this->membersOf(service)) {
+        if (!target.primary)
+            continue;
+        if (found)
+            return std::nullopt;
+        found = target;
+    }
+    return found;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/front_instance.cpp
@@ -0,0 +1,329 @@
+#include "libsession/front_instance.h"
+
+#include "catkinlock/instance_lifecycle.h"
+#include "catkinlock/log.h"
+#include "catkinlock/membership.h"
+#include "catkinlock/peer_link.h"
+#include "libserver/admission.h"
+#include "libserver/metrics_page.h"
+#include "libserver/service_level.h"
+#include "libserver/slot_keeper.h"
+#include "libsession/page_server.h"
+#include "libsession/registration.h"
+#include "libsession/session_context.h"
+#include "libsession/session_front.h"
+#include "libsession/slot_directory.h"
+#include "libsession/spawn.h"
+#include "libsession/store_mirror.h"
+#include "libsession/target_groups.h"
+#include "libsession/view_builder.h"
+#include "peer.pb.h"
+#include <boost/asio.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <thread>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr Milliseconds houseKeepingInterval { 200 };
+    // A confirmed view is used for the revocation time less this.
+    constexpr Milliseconds revocationMargin { 300 };
+    // An instance asks for no new callers once less than this part of its view's time is left.
+    constexpr double leastViewLeft = 0.15;
+    // Of the time to leave: until idle sessions end, until open transactions end, and until the process ends.
+    constexpr double idleSessionsPart = 0.25;
+    constexpr double transactionsPart = 0.5;
+    constexpr double lastPart = 0.85;
+    constexpr Milliseconds drainStep { 50 };
+
+} // namespace
+
+struct FrontInstance::Parts {
+    Parts(FrontSettings, MakeSessionPlatform);
+
+    bool open();
+    void start();
+    void storeChanged();
+    void publishView();
+    void handleMessage(const wire::Envelope&);
+    bool isReady() const;
+    Page readyPage(const std::string& path) const;
+    Page metricsPage() const;
+    asio::awaitable<void> keepHouse();
+    asio::awaitable<void> keepRequestHouse();
+    asio::awaitable<void> awaitLeave();
+    asio::awaitable<void> awaitReload();
+    asio::awaitable<void> leave();
+
+    FrontSettings settings;
+    asio::io_context control { 1 };
+    asio::io_context requests { 1 };
+    InstanceLifecycle lifecycle;
+    SessionPlatform platform;
+    std::shared_ptr<ViewFreshness> freshness;
+    std::shared_ptr<RcuSnapshot<FleetView>> view = std::make_shared<RcuSnapshot<FleetView>>();
+    ViewBuilder builder;
+    std::shared_ptr<StoreMirror> mirror;
+    std::shared_ptr<Membership> membership;
+    std::shared_ptr<PeerLink> link;
+    std::shared_ptr<Registration> registration;
+    std::shared_ptr<SlotKeeper> slotKeeper;
+    std::shared_ptr<Admission> admission;
+    std::shared_ptr<ServiceLevel> level = std::make_shared<ServiceLevel>();
+    std::shared_ptr<SessionContext> sessions = std::make_shared<SessionContext>();
+    std::shared_ptr<SessionFront> front;
+    std::shared_ptr<PageServer> readyServer;
+    std::shared_ptr<PageServer> metricsServer;
+    std::int64_t tablesInForce = 0;
+    std::thread requestThread;
+};
+
+FrontInstance::Parts::Parts(FrontSettings given, MakeSessionPlatform makePlatform)
+    : settings(std::move(given))
+    , platform(makePlatform(this->control, this->settings))
+    , freshness(std::make_shared<ViewFreshness>(Milliseconds(this->settings.revocationMs) - revocationMargin))
+    , builder(this->platform.documents)
+{
+    this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
+    this->mirror = std::make_shared<StoreMirror>(
+        this->control, this->platform.store, this->freshness, [this] { this->storeChanged(); });
+    auto executor = this->requests.get_executor();
+    this->sessions->executor = executor;
+    this->sessions->protocol = this->platform.callers;
+    this->sessions->view = this->view;
+    this->sessions->freshness = this->freshness;
+    this->sessions->level = this->level;
+    this->sessions->groups = std::make_shared<TargetGroups>(
+        executor, this->platform.targets, this->freshness, this->settings.dataCentre);
+    this->front = std::make_shared<SessionFront>(this->requests, this->sessions);
+    this->readyServer = std::make_shared<PageServer>(
+        this->control, [this](const std::string& path) { return this->readyPage(path); });
+    this->metricsServer
+        = std::make_shared<PageServer>(this->control, [this](const std::string&) { return this->metricsPage(); });
+}
+
+bool FrontInstance::Parts::open()
+{
+    std::string peerAddress = this->link->bind(this->settings.peerAddress);
+    bool bound = !peerAddress.empty() && this->front->listen(this->settings.callerAddress)
+        && this->readyServer->start(this->settings.readyAddress);
+    if (bound && !this->settings.metricsAddress.empty())
+        bound = this->metricsServer->start(this->settings.metricsAddress);
+    if (!bound) {
+        writeLog(LogLevel::Error, "bind_failed", { { "callers", this->settings.callerAddress } });
+        return false;
+    }
+    InstanceRecord self { this->settings.name, peerAddress, this->settings.dataCentre, 1, 1, InstanceState::Live, {} };
+    this->membership = std::make_shared<Membership>(self);
+    this->admission
+        = std::make_shared<Admission>(this->control, this->requests.get_executor(), this->link, this->membership);
+    this->sessions->admission = this->admission;
+    this->registration = std::make_shared<Registration>(
+        this->control, this->platform.store, this->settings.name, peerAddress, this->settings.leaseSeconds);
+    this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform.store,
+        SlotKeeper::Options { this->settings.slots, this->settings.leaseSeconds, this->settings.name, peerAddress },
+        SlotKeeper::Hooks { [this](const auto& held, TimePoint until) {
+                               this->admission->updateSlots(held, until, this->settings.slots);
+                               this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
+                           },
+            [this] { return std::max<std::size_t>(this->view->read()->instances.size(), 1); },
+            [this](std::uint32_t slot) {
+                const InstanceRecord* holder = this->membership->holderOf(slot);
+                return holder && holder->name != this->settings.name;
+            } });
+    this->admission->updateSlots({}, Clock::now(), this->settings.slots);
+    writeLog(LogLevel::Info, "started",
+        { { "callers", this->settings.callerAddress }, { "peer", peerAddress },
+            { "data_centre", this->settings.dataCentre } });
+    return true;
+}
+
+void FrontInstance::Parts::start()
+{
+    this->link->start([this](const wire::Envelope& envelope) { this->handleMessage(envelope); });
+    this->mirror->start();
+    this->registration->start();
+    this->slotKeeper->start();
+    this->admission->start();
+    this->front->start();
+    spawn(this->control, [this] { return this->keepHouse(); });
+    spawn(this->requests, [this] { return this->keepRequestHouse(); });
+    spawn(this->control, [this] { return this->awaitLeave(); });
+    spawn(this->control, [this] { return this->awaitReload(); });
+    this->requestThread = std::thread([this] {
+        registerSnapshotReader();
+        auto guard = asio::make_work_guard(this->requests);
+        this->requests.run();
+    });
+}
+
+void FrontInstance::Parts::storeChanged()
+{
+    this->publishView();
+    for (const InstanceRecord& record : holdersOfSlots(this->mirror->values(), *this->view->read()))
+        this->membership->apply(record, Clock::now());
+}
+
+void FrontInstance::Parts::publishView()
+{
+    FleetView next = this->builder.build(this->mirror->values(), this->mirror->revision(), Clock::now());
+    for (const std::string& fault : this->builder.takeFaults())
+        writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
+    auto tables = next.tables;
+    this->view->replace(std::move(next));
+    if (tables->revision != this->tablesInForce) {
+        this->tablesInForce = tables->revision;
+        this->admission->updateTables(*tables);
+        this->level->updateTables(*tables);
+        writeLog(LogLevel::Info, "configuration_in_force",
+            { { "configuration", fmt::format("{}", tables->revision) },
+                { "revision", fmt::format("{}", this->mirror->revision()) } });
+    }
+    bool usable = this->tablesInForce && !this->view->read()->targets.empty();
+    if (usable && this->lifecycle.state() == InstanceLifecycle::State::Starting) {
+        this->lifecycle.ready();
+        writeLog(LogLevel::Info, "ready");
+    }
+}
+
+void FrontInstance::Parts::handleMessage(const wire::Envelope& envelope)
+{
+    const std::string& sender = envelope.sender();
+    switch (envelope.body_case()) {
+    case wire::Envelope::kLoanRequest:
+        return this->admission->receiveLoanRequest(sender, envelope.loan_request());
+    case wire::Envelope::kLoanReply:
+        return this->admission->receiveLoanReply(sender, envelope.loan_reply());
+    case wire::Envelope::kLoanReturn:
+        return this->admission->receiveLoanReturn(envelope.loan_return());
+    default:
+        // A message of the other kind of instance, or of a later release.
+        return;
+    }
+}
+
+bool FrontInstance::Parts::isReady() const
+{
+    return this->lifecycle.state() == InstanceLifecycle::State::Serving
+        && this->freshness->hasLeft(Clock::now(), leastViewLeft);
+}
+
+Page FrontInstance::Parts::readyPage(const std::string& path) const
+{
+    if (path != this->settings.readyPath)
+        return { 404, "no such page\n" };
+    bool ready = this->isReady();
+    return { ready ? 200u : 503u, ready ? "ready\n" : "not ready\n" };
+}
+
+Page FrontInstance::Parts::metricsPage() const
+{
+    auto count = [](auto value) { return static_cast<double>(value); };
+    std::vector<Metric> metrics {
+        { "sessions", "Open sessions", count(this->sessions->sessions.load()) },
+        { "statements_total", "Statements of callers", count(this->sessions->statements.load()), true },
+        { "statement_failures_total", "Statements that failed", count(this->sessions->failures.load()), true },
+        { "admitted_total", "Operations within their workspace's rate", count(this->admission->admitted()), true },
+        { "rate_refused_total", "Operations over their workspace's rate", count(this->admission->refused()), true },
+        { "slots_held", "Slots held under a lease", count(this->slotKeeper->held().size()) },
+        { "configuration", "Version of the configuration in force", count(this->tablesInForce) },
+        { "view_age_milliseconds", "Age of the last confirmed view of the store",
+            count(this->freshness->age(Clock::now()).count()) },
+        { "store_calls_total", "Calls to the metadata store", count(this->platform.store->calls()), true },
+        { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
+    };
+    return { 200, renderMetrics(metrics, *this->level) };
+}
+
+asio::awaitable<void> FrontInstance::Parts::keepHouse()
+{
+    asio::steady_timer timer(this->control);
+    for (;;) {
+        timer.expires_after(houseKeepingInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (this->builder.isUnsettled())
+            this->publishView();
+        this->level->sample(Clock::now());
+    }
+}
+
+asio::awaitable<void> FrontInstance::Parts::keepRequestHouse()
+{
+    asio::steady_timer timer(this->requests);
+    for (;;) {
+        timer.expires_after(houseKeepingInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        this->sessions->groups->refresh(*this->view->read());
+        this->sessions->groups->keepHouse(Clock::now());
+    }
+}
+
+asio::awaitable<void> FrontInstance::Parts::awaitLeave()
+{
+    asio::signal_set signals(this->control, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await this->leave();
+}
+
+asio::awaitable<void> FrontInstance::Parts::awaitReload()
+{
+    asio::signal_set signals(this->control, SIGHUP);
+    for (;;) {
+        co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+        writeLog(LogLevel::Info, "reload_requested");
+    }
+}
+
+asio::awaitable<void> FrontInstance::Parts::leave()
+{
+    this->lifecycle.leave();
+    writeLog(LogLevel::Info, "draining", { { "sessions", fmt::format("{}", this->sessions->sessions.load()) } });
+    TimePoint start = Clock::now();
+    Milliseconds total = std::chrono::seconds(this->settings.drainSeconds);
+    asio::steady_timer timer(this->control);
+    this->sessions->leaving = true;
+    for (;;) {
+        timer.expires_after(drainStep);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        Duration passed = Clock::now() - start;
+        bool idleEnd = passed > total * idleSessionsPart;
+        bool transactionsEnd = passed > total * transactionsPart;
+        if (idleEnd && (!this->sessions->sessions.load() || passed > total * lastPart))
+            break;
+        asio::post(this->requests, [this, idleEnd, transactionsEnd] {
+            if (idleEnd)
+                this->front->endIdleSessions();
+            if (transactionsEnd)
+                this->front->endTransactions();
+        });
+    }
+    co_await this->registration->end();
+    this->lifecycle.drained();
+    writeLog(LogLevel::Info, "stopped", { { "sessions_cut", fmt::format("{}", this->sessions->sessions.load()) } });
+    this->control.stop();
+}
+
+FrontInstance::FrontInstance(FrontSettings settings, MakeSessionPlatform makePlatform)
+    : parts(std::make_unique<Parts>(std::move(settings), makePlatform))
+{
+}
+
+FrontInstance::~FrontInstance() = default;
+
+int FrontInstance::run()
+{
+    Parts& all = *this->parts;
+    if (!all.open())
+        return EXIT_FAILURE;
+    all.start();
+    all.control.run();
+    all.requests.stop();
+    all.requestThread.join();
+    return EXIT_SUCCESS;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/page_server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace catkinlock {
+
+/// A page: HTTP status and body.
+struct Page {
+    unsigned status = 200;
+    std::string body;
+};
+
+/// Serves small pages over HTTP/1.1 on one address.
+class PageServer : public std::enable_shared_from_this<PageServer> {
+public:
+    /// `render` gets the path of a request, on the thread that runs the context.
+    PageServer(boost::asio::io_context&, std::function<Page(const std::string& path)> render);
+    ~PageServer();
+
+    /// False if the address can't be bound.
+    bool start(const std::string& address);
+
+private:
+    struct Acceptor;
+    boost::asio::awaitable<void> accept();
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
+
+    boost::asio::io_context& context;
+    std::function<Page(const std::string&)> render;
+    std::unique_ptr<Acceptor> acceptor;
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/position_window.cpp
@@ -0,0 +1,33 @@
+#include "libsession/position_window.h"
+
+namespace catkinlock {
+
+namespace {
+
+    // Older samples serve no route's age; a later one does as well.
+    constexpr std::size_t mostSamples = 128;
+    constexpr Milliseconds leastSpacing { 20 };
+
+} // namespace
+
+void PositionWindow::note(const Position& position, TimePoint askedAt)
+{
+    if (!position.term)
+        return;
+    if (!this->samples.empty() && askedAt < this->samples.back().askedAt + leastSpacing)
+        return;
+    this->samples.push_back({ position, askedAt });
+    if (this->samples.size() > mostSamples)
+        this->samples.pop_front();
+}
+
+std::optional<Position> PositionWindow::covering(TimePoint since) const
+{
+    for (const Sample& sample : this->samples) {
+        if (sample.askedAt >= since)
+            return sample.position;
+    }
+    return std::nullopt;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/position_window.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "catkinlock/clock.h"
+#include "catkinlock/position.h"
+#include <deque>
+#include <optional>
+
+namespace catkinlock {
+
+/// Positions of a group's primary by when it was asked. A commit that was acknowledged before a question was sent is in
+/// the position that answers it, so a member that has the position has the commit.
+class PositionWindow {
+public:
+    /// A primary answered with `position` to what was sent at `askedAt`.
+    void note(const Position& position, TimePoint askedAt);
+    /// A position that covers every commit acknowledged before `since`: the lowest one known. Nothing if none is known.
+    std::optional<Position> covering(TimePoint since) const;
+
+private:
+    struct Sample {
+        Position position;
+        TimePoint askedAt;
+    };
+    // By the time of the question, positions rising.
+    std::deque<Sample> samples;
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/session.cpp
@@ -0,0 +1,264 @@
+#include "libsession/session.h"
+
+#include "catkinlock/caller_protocol.h"
+#include "catkinlock/digest.h"
+#include "catkinlock/log.h"
+#include "catkinlock/refusal.h"
+#include "libserver/admission.h"
+#include "libserver/service_level.h"
+#include "libsession/view_freshness.h"
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t readBytes = 8 << 10;
+    constexpr Milliseconds defaultStatementTimeout { 5000 };
+    // The answer leaves this much before the time of the statement is over.
+    constexpr Milliseconds answerMargin { 20 };
+
+    auto asResult() { return asio::as_tuple(asio::use_awaitable); }
+
+} // namespace
+
+struct Session::Socket {
+    explicit Socket(asio::ip::tcp::socket given)
+        : stream(std::move(given))
+        , idle(this->stream.get_executor())
+    {
+    }
+    asio::ip::tcp::socket stream;
+    asio::steady_timer idle;
+};
+
+Session::Session(asio::ip::tcp::socket socket, std::shared_ptr<SessionContext> context)
+    : socket(std::make_unique<Socket>(std::move(socket)))
+    , context(std::move(context))
+    , runner(this->context)
+{
+    ++this->context->sessions;
+    boost::system::error_code ignored;
+    this->socket->stream.set_option(asio::ip::tcp::no_delay(true), ignored);
+    this->socket->stream.set_option(asio::socket_base::keep_alive(true), ignored);
+}
+
+Session::~Session() { --this->context->sessions; }
+
+void Session::endIfIdle()
+{
+    boost::system::error_code ignored;
+    bool idle = this->waiting && this->runner.state() == TransactionState::Idle && this->received.empty();
+    if (!idle || this->socket->stream.available(ignored))
+        return;
+    this->ending = true;
+    this->socket->stream.cancel(ignored);
+}
+
+void Session::endTransaction()
+{
+    if (!this->waiting)
+        return;
+    this->runner.close();
+    this->ending = true;
+    boost::system::error_code ignored;
+    this->socket->stream.cancel(ignored);
+}
+
+asio::awaitable<void> Session::run()
+{
+    auto self = this->shared_from_this();
+    bool opened = co_await this->open();
+    while (opened && !this->ending) {
+        auto message = co_await this->nextMessage();
+        if (!message)
+            break;
+        auto* statement = std::get_if<SessionStatement>(&*message);
+        if (!statement)
+            break;
+        TargetReply reply = co_await this->answer(*statement);
+        std::string bytes;
+        this->context->protocol->appendReply(bytes, reply);
+        bool written = co_await this->write(std::move(bytes));
+        if (!written)
+            break;
+        this->ending = this->context->leaving && this->runner.state() == TransactionState::Idle;
+    }
+    this->runner.close();
+    boost::system::error_code ignored;
+    this->socket->stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->socket->stream.close(ignored);
+}
+
+asio::awaitable<bool> Session::write(std::string bytes)
+{
+    auto [error, size] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
+    co_return !error;
+}
+
+void Session::watchIdleTransaction()
+{
+    auto limit = this->context->view->read()->tables->idleTransactionMs;
+    if (!limit || this->runner.state() != TransactionState::Open)
+        return;
+    this->socket->idle.expires_after(Milliseconds(limit));
+    std::weak_ptr<Session> weak = this->weak_from_this();
+    this->socket->idle.async_wait([weak](boost::system::error_code error) {
+        auto session = weak.lock();
+        if (error || !session || !session->waiting || session->runner.state() != TransactionState::Open)
+            return;
+        session->runner.abandon();
+        writeLog(LogLevel::Info, "idle_transaction_ended", { { "database", session->database } });
+    });
+}
+
+asio::awaitable<std::optional<CallerMessage>> Session::nextMessage()
+{
+    for (;;) {
+        auto message = this->context->protocol->take(this->received);
+        if (message)
+            co_return message;
+        this->watchIdleTransaction();
+        this->waiting = true;
+        std::size_t held = this->received.size();
+        std::string chunk(readBytes, '\0');
+        auto [error, size] = co_await this->socket->stream.async_read_some(asio::buffer(chunk), asResult());
+        this->waiting = false;
+        this->socket->idle.cancel();
+        if (error)
+            co_return std::nullopt;
+        this->received.resize(held);
+        this->received.append(chunk, 0, size);
+    }
+}
+
+asio::awaitable<bool> Session::open()
+{
+    auto message = co_await this->nextMessage();
+    auto* opening = message ? std::get_if<OpenSession>(&*message) : nullptr;
+    if (!opening)
+        co_return false;
+    this->database = opening->database;
+    this->keyDigest = sha256Hex(opening->key);
+    auto view = this->context->view->read();
+    auto route = view->tables->routes.find(this->database);
+    std::optional<StatementError> error;
+    if (!this->context->freshness->isFresh(Clock::now()))
+        error = StatementError::Busy;
+    else if (route == view->tables->routes.end())
+        error = StatementError::NoDatabase;
+    else if (!route->second.open && !view->tables->keys.count(this->keyDigest))
+        error = StatementError::Unauthenticated;
+    std::string bytes;
+    if (!error)
+        this->context->protocol->appendOpened(bytes);
+    else {
+        const char* name = statementErrorName(*error);
+        this->context->protocol->appendRefusedOpening(bytes, *error, name);
+        writeLog(LogLevel::Warning, "session_refused",
+            { { "database", this->database }, { "reason", name },
+                { "configuration", fmt::format("{}", view->tables->revision) },
+                { "view_age_ms", fmt::format("{}", this->context->freshness->age(Clock::now()).count()) } });
+    }
+    bool written = co_await this->write(std::move(bytes));
+    co_return written && !error;
+}
+
+// Who may run the statement, on which route and until when, by the tables that are in force now.
+tl::expected<StatementCall, TargetReply> Session::admitCall(const SessionStatement& statement) const
+{
+    TargetReply refusal;
+    refusal.state = this->runner.state();
+    TimePoint now = Clock::now();
+    auto view = this->context->view->read();
+    StatementCall call;
+    auto route = view->tables->routes.find(this->database);
+    auto key = view->tables->keys.find(this->keyDigest);
+    bool known = route != view->tables->routes.end();
+    if (this->transactionRoute)
+        call.route = *this->transactionRoute;
+    else if (known)
+        call.route = route->second;
+    else {
+        refusal.error = StatementError::NoDatabase;
+        refusal.errorText = "no route for this database";
+        return tl::unexpected(refusal);
+    }
+    if (!call.route.open && key == view->tables->keys.end()) {
+        refusal.error = StatementError::Unauthenticated;
+        refusal.errorText = "the key is not known";
+        return tl::unexpected(refusal);
+    }
+    if (!call.route.open && !this->context->freshness->isFresh(now)) {
+        refusal.error = StatementError::Busy;
+        refusal.errorText = "it can't be told whether the key still holds; try another instance";
+        return tl::unexpected(refusal);
+    }
+    call.workspace = key == view->tables->keys.end() ? "-" : key->second.workspace;
+    call.arrivedAt = now;
+    Milliseconds limit(call.route.statementTimeoutMs);
+    call.deadline = now + (limit.count() ? limit - answerMargin : defaultStatementTimeout);
+    this->context->groups->refresh(*view);
+    (void)statement;
+    return call;
+}
+
+asio::awaitable<TargetReply> Session::answer(SessionStatement statement)
+{
+    ++this->context->statements;
+    auto call = this->admitCall(statement);
+    if (!call) {
+        TargetReply refusal = call.error();
+        if (this->runner.state() == TransactionState::Open) {
+            this->runner.abandon();
+            refusal.state = TransactionState::Failed;
+        }
+        this->record(statement, refusal, {});
+        co_return refusal;
+    }
+    if (this->runner.startsOperation(statement) && call->workspace != "-") {
+        auto admitted = co_await this->context->admission->admit(call->workspace, call->deadline);
+        if (!admitted) {
+            TargetReply refusal;
+            refusal.error = StatementError::Busy;
+            refusal.errorText = admitted.error().message;
+            this->record(statement, refusal, *call);
+            co_return refusal;
+        }
+    }
+    TargetReply reply = co_await this->runner.run(statement, *call);
+    if (this->runner.state() == TransactionState::Idle)
+        this->transactionRoute.reset();
+    else if (!this->transactionRoute)
+        this->transactionRoute = call->route;
+    this->record(statement, reply, *call);
+    co_return reply;
+}
+
+void Session::record(const SessionStatement& statement, const TargetReply& reply, const StatementCall& call) const
+{
+    TimePoint now = Clock::now();
+    Duration took = call.arrivedAt == TimePoint() ? Duration(0) : now - call.arrivedAt;
+    Refusal refusal;
+    if (reply.error) {
+        ++this->context->failures;
+        refusal.outcome = promisesNothingKept(*reply.error) ? Outcome::NotRun : Outcome::Unknown;
+        refusal.code = statementErrorName(*reply.error);
+    }
+    this->context->level->observe(
+        call.route.name, call.workspace, reply.error ? &refusal : nullptr, took);
+    if (!reply.error)
+        return;
+    writeLog(LogLevel::Warning, "statement_failed",
+        { { "request", statement.id }, { "database", this->database }, { "workspace", call.workspace },
+            { "outcome", outcomeName(refusal.outcome) }, { "reason", refusal.code }, { "detail", reply.errorText },
+            { "member", this->runner.lastMember() }, { "tries", fmt::format("{}", this->runner.lastTries()) },
+            { "took_ms", fmt::format("{}", std::chrono::duration_cast<Milliseconds>(took).count()) },
+            { "configuration", fmt::format("{}", this->context->view->read()->tables->revision) },
+            { "view_age_ms", fmt::format("{}", this->context->freshness->age(now).count()) } });
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/session_front.cpp
@@ -0,0 +1,105 @@
+#include "libsession/session_front.h"
+
+#include "catkinlock/address.h"
+#include "libsession/session.h"
+#include "libsession/spawn.h"
+#include <boost/asio.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Pause after the system refused a connection, as when it is out of descriptors.
+    constexpr Milliseconds acceptPause { 20 };
+    constexpr std::size_t sweepAfter = 256;
+
+} // namespace
+
+struct SessionFront::Acceptor {
+    explicit Acceptor(asio::io_context& context)
+        : socket(context)
+    {
+    }
+    asio::ip::tcp::acceptor socket;
+};
+
+SessionFront::SessionFront(asio::io_context& context, std::shared_ptr<SessionContext> shared)
+    : context(context)
+    , shared(std::move(shared))
+    , acceptor(std::make_unique<Acceptor>(context))
+{
+}
+
+SessionFront::~SessionFront() = default;
+
+bool SessionFront::listen(const std::string& address)
+{
+    auto endpoint = parseAddress(address);
+    boost::system::error_code error;
+    auto& socket = this->acceptor->socket;
+    socket.open(endpoint.protocol(), error);
+    if (!error)
+        socket.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        socket.bind(endpoint, error);
+    if (!error)
+        socket.listen(asio::socket_base::max_listen_connections, error);
+    return !error;
+}
+
+void SessionFront::start()
+{
+    spawn(this->context, [self = this->shared_from_this()] { return self->accept(); });
+}
+
+void SessionFront::stopAccepting()
+{
+    boost::system::error_code ignored;
+    this->acceptor->socket.close(ignored);
+}
+
+asio::awaitable<void> SessionFront::accept()
+{
+    auto self = this->shared_from_this();
+    while (this->acceptor->socket.is_open()) {
+        auto [error, socket] = co_await this->acceptor->socket.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            asio::steady_timer pause(this->context, acceptPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        auto session = std::make_shared<Session>(std::move(socket), this->shared);
+        if (this->sessions.size() >= sweepAfter)
+            std::erase_if(this->sessions, [](const auto& weak) { return weak.expired(); });
+        this->sessions.push_back(session);
+        spawn(this->context, [session] { return session->run(); });
+    }
+}
+
+std::vector<std::shared_ptr<Session>> SessionFront::live()
+{
+    std::vector<std::shared_ptr<Session>> found;
+    for (const auto& weak : this->sessions) {
+        if (auto session = weak.lock())
+            found.push_back(session);
+    }
+    return found;
+}
+
+void SessionFront::endIdleSessions()
+{
+    for (const auto& session : this->live())
+        session->endIfIdle();
+}
+
+void SessionFront::endTransactions()
+{
+    for (const auto& session : this->live())
+        session->endTransaction();
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/session_front.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libsession/session_context.h"
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace catkinlock {
+
+class Session;
+
+/// Accepts callers' sessions. On the request thread.
+class SessionFront : public std::enable_shared_from_this<SessionFront> {
+public:
+    SessionFront(boost::asio::io_context&, std::shared_ptr<SessionContext>);
+    ~SessionFront();
+
+    /// False if the address can't be bound.
+    bool listen(const std::string& address);
+    void start();
+    void stopAccepting();
+    /// Ends the sessions in which nothing is open.
+    void endIdleSessions();
+    /// Rolls back transactions that no request is running in, and ends their sessions.
+    void endTransactions();
+
+private:
+    struct Acceptor;
+    boost::asio::awaitable<void> accept();
+    std::vector<std::shared_ptr<Session>> live();
+
+    boost::asio::io_context& context;
+    std::shared_ptr<SessionContext> shared;
+    std::unique_ptr<Acceptor> acceptor;
+    std::vector<std::weak_ptr<Session>> sessions;
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/slot_directory.cpp
@@ -0,0 +1,52 @@
+#include "libsession/slot_directory.h"
+
+#include "libserver/slot_keeper.h"
+#include <boost/json.hpp>
+#include <charconv>
+
+namespace catkinlock {
+
+namespace json = boost::json;
+
+namespace {
+
+    // The instance that a slot's value names, into `record`. False if the value names none.
+    bool readHolder(const std::string& text, InstanceRecord& record)
+    {
+        json::error_code error;
+        json::value value = json::parse(text, error);
+        const json::object* object = error ? nullptr : value.if_object();
+        const json::value* name = object ? object->if_contains("instance") : nullptr;
+        const json::value* peer = object ? object->if_contains("peer") : nullptr;
+        if (!name || !name->is_string() || !peer || !peer->is_string())
+            return false;
+        record.name = json::value_to<std::string>(*name);
+        record.address = json::value_to<std::string>(*peer);
+        return true;
+    }
+
+} // namespace
+
+std::vector<InstanceRecord> holdersOfSlots(const std::map<std::string, KeyValue>& values, const FleetView& view)
+{
+    std::map<std::string, InstanceRecord> records;
+    for (const auto& [name, address] : view.instances)
+        records[name] = { name, address, "", 1, view.serial, InstanceState::Live, {} };
+    std::string prefix = slotPrefix;
+    for (auto it = values.lower_bound(prefix); it != values.end() && it->first.starts_with(prefix); ++it) {
+        InstanceRecord holder;
+        if (!readHolder(it->second.value, holder))
+            continue;
+        auto& record = records[holder.name];
+        record = { holder.name, holder.address, "", 1, view.serial, InstanceState::Live, record.slots };
+        std::uint32_t slot = 0;
+        std::from_chars(it->first.data() + prefix.size(), it->first.data() + it->first.size(), slot);
+        record.slots.push_back(slot);
+    }
+    std::vector<InstanceRecord> list;
+    for (auto& [name, record] : records)
+        list.push_back(std::move(record));
+    return list;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/store_mirror.cpp
@@ -0,0 +1,121 @@
+#include "libsession/store_mirror.h"
+
+#include "catkinlock/log.h"
+#include "libsession/spawn.h"
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // An answer without changes confirms the copy as of the question, so this bounds how old a confirmed view gets.
+    constexpr Milliseconds pollWait { 1500 };
+    constexpr Milliseconds firstPause { 100 };
+    constexpr Milliseconds longestPause { 800 };
+    constexpr unsigned mostDoublings = 3;
+
+} // namespace
+
+StoreMirror::StoreMirror(asio::io_context& context, std::shared_ptr<PolledStore> store,
+    std::shared_ptr<ViewFreshness> freshness, std::function<void()> changed)
+    : context(context)
+    , store(std::move(store))
+    , freshness(std::move(freshness))
+    , changed(std::move(changed))
+{
+}
+
+void StoreMirror::start()
+{
+    spawn(this->context, [self = this->shared_from_this()] { return self->follow(); });
+}
+
+asio::awaitable<void> StoreMirror::follow()
+{
+    auto self = this->shared_from_this();
+    while (!this->stopped) {
+        if (!this->loaded)
+            this->loaded = co_await this->load();
+        else if (!co_await this->poll())
+            this->loaded = false;
+    }
+}
+
+asio::awaitable<void> StoreMirror::pauseAfterFailure(const std::string& message)
+{
+    if (!this->failures)
+        writeLog(LogLevel::Warning, "store_lost",
+            { { "reason", message },
+                { "view_age_ms", fmt::format("{}", this->freshness->age(Clock::now()).count()) } });
+    Milliseconds pause = std::min(firstPause * (1 << std::min(this->failures, mostDoublings)), longestPause);
+    ++this->failures;
+    asio::steady_timer timer(this->context, pause);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void StoreMirror::noteReached()
+{
+    if (this->failures)
+        writeLog(LogLevel::Info, "store_regained", { { "failed_calls", fmt::format("{}", this->failures) } });
+    this->failures = 0;
+}
+
+asio::awaitable<bool> StoreMirror::load()
+{
+    TimePoint askedAt = Clock::now();
+    auto range = co_await this->store->readPrefix("");
+    if (!range) {
+        co_await this->pauseAfterFailure(range.error().message);
+        co_return false;
+    }
+    this->noteReached();
+    std::map<std::string, KeyValue> next;
+    for (KeyValue& value : range->values)
+        next[value.key] = std::move(value);
+    this->copy = std::move(next);
+    this->seen = range->revision;
+    this->freshness->confirm(askedAt);
+    writeLog(LogLevel::Info, "store_read",
+        { { "revision", fmt::format("{}", this->seen) }, { "keys", fmt::format("{}", this->copy.size()) } });
+    this->changed();
+    co_return true;
+}
+
+void StoreMirror::apply(const KeyValue& change)
+{
+    auto held = this->copy.find(change.key);
+    if (held != this->copy.end() && held->second.revision >= change.revision)
+        return;
+    if (change.deleted)
+        this->copy.erase(change.key);
+    else
+        this->copy[change.key] = change;
+}
+
+// False if the copy has to be read afresh.
+asio::awaitable<bool> StoreMirror::poll()
+{
+    TimePoint askedAt = Clock::now();
+    auto answer = co_await this->store->changesAfter("", this->seen, pollWait);
+    if (!answer) {
+        co_await this->pauseAfterFailure(answer.error().message);
+        co_return true;
+    }
+    this->noteReached();
+    if (answer->historyLost) {
+        writeLog(LogLevel::Warning, "store_history_lost", { { "revision", fmt::format("{}", this->seen) } });
+        co_return false;
+    }
+    for (const KeyValue& change : answer->changes)
+        this->apply(change);
+    this->seen = std::max(this->seen, answer->revision);
+    this->freshness->confirm(askedAt);
+    if (!answer->changes.empty())
+        this->changed();
+    co_return true;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/target_link.cpp
@@ -0,0 +1,171 @@
+#include "libsession/target_link.h"
+
+#include "catkinlock/address.h"
+#include <boost/asio.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <fmt/format.h>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t readBytes = 16 << 10;
+
+    auto asResult() { return asio::as_tuple(asio::use_awaitable); }
+
+} // namespace
+
+struct TargetLink::Socket {
+    explicit Socket(asio::any_io_executor executor)
+        : stream(std::move(executor))
+    {
+    }
+    boost::beast::tcp_stream stream;
+};
+
+TargetLink::TargetLink(asio::any_io_executor executor, std::shared_ptr<const TargetProtocol> protocol)
+    : protocol(std::move(protocol))
+    , socket(std::make_unique<Socket>(std::move(executor)))
+{
+}
+
+TargetLink::~TargetLink() = default;
+
+bool TargetLink::isOpen() const { return this->socket->stream.socket().is_open(); }
+
+void TargetLink::close()
+{
+    boost::system::error_code ignored;
+    this->socket->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    this->socket->stream.socket().close(ignored);
+}
+
+asio::awaitable<tl::expected<void, LinkFailure>> TargetLink::open(
+    TargetRecord target, std::string workspace, Milliseconds timeout)
+{
+    auto self = this->shared_from_this();
+    this->member = std::move(target);
+    this->forWorkspace = std::move(workspace);
+    this->socket->stream.expires_after(timeout);
+    auto [error] = co_await this->socket->stream.async_connect(parseAddress(this->member.address), asResult());
+    if (error) {
+        this->close();
+        LinkFailure failure;
+        failure.message = "cannot connect: " + error.message();
+        co_return tl::unexpected(failure);
+    }
+    boost::system::error_code ignored;
+    this->socket->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    std::string bytes;
+    this->protocol->appendOpen(bytes, this->member.service, this->forWorkspace, this->member.id);
+    // A refused opening is followed by the connection's end and not by a state.
+    auto reply = co_await this->exchange(std::move(bytes), timeout);
+    if (!reply) {
+        LinkFailure failure = reply.error();
+        failure.maySent = false;
+        co_return tl::unexpected(failure);
+    }
+    co_return tl::expected<void, LinkFailure> {};
+}
+
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, Milliseconds timeout)
+{
+    auto self = this->shared_from_this();
+    LinkFailure failure;
+    auto& stream = this->socket->stream;
+    stream.expires_after(timeout);
+    auto [writeError, written] = co_await asio::async_write(stream, asio::buffer(bytes), asResult());
+    failure.maySent = true;
+    boost::system::error_code error = writeError;
+    TargetReply reply;
+    while (!error) {
+        auto whole = this->protocol->take(this->received, reply);
+        if (!whole) {
+            failure.message = "the member answered with something else than a reply";
+            this->close();
+            co_return tl::unexpected(failure);
+        }
+        if (*whole) {
+            this->lastState = reply.state;
+            co_return reply;
+        }
+        std::size_t held = this->received.size();
+        this->received.resize(held + readBytes);
+        auto [readError, size]
+            = co_await stream.async_read_some(asio::buffer(this->received.data() + held, readBytes), asResult());
+        this->received.resize(held + size);
+        error = readError;
+    }
+    failure.refusal = reply.error;
+    failure.message = reply.error ? "the member refused the connection" : "no answer: " + error.message();
+    this->close();
+    co_return tl::unexpected(failure);
+}
+
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::send(
+    SessionStatement statement, std::optional<Position> after, std::string preparedName, Milliseconds timeout)
+{
+    std::string bytes;
+    this->protocol->appendStatement(bytes, statement, after, preparedName);
+    return this->exchange(std::move(bytes), timeout);
+}
+
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::command(
+    TargetCommand command, std::optional<Position> after, Milliseconds timeout)
+{
+    std::string bytes;
+    this->protocol->appendCommand(bytes, command, after);
+    return this->exchange(std::move(bytes), timeout);
+}
+
+asio::awaitable<bool> TargetLink::apply(TargetCommand command, Milliseconds timeout)
+{
+    auto reply = co_await this->command(std::move(command), std::nullopt, timeout);
+    if (reply && !reply->error)
+        co_return true;
+    this->close();
+    co_return false;
+}
+
+asio::awaitable<bool> TargetLink::adopt(std::map<std::string, std::string> wanted, std::string preparedName,
+    std::string prepared, Milliseconds timeout)
+{
+    auto self = this->shared_from_this();
+    bool foreign = false;
+    for (const auto& [name, value] : this->values)
+        foreign = foreign || !wanted.count(name);
+    if (foreign) {
+        TargetCommand reset;
+        reset.kind = TargetCommand::Kind::Reset;
+        if (!co_await this->apply(reset, timeout))
+            co_return false;
+        this->values.clear();
+        this->preparedNames.clear();
+    }
+    for (const auto& item : wanted) {
+        auto held = this->values.find(item.first);
+        if (held != this->values.end() && held->second == item.second)
+            continue;
+        TargetCommand set;
+        set.kind = TargetCommand::Kind::SetValue;
+        set.name = item.first;
+        set.argument = item.second;
+        if (!co_await this->apply(set, timeout))
+            co_return false;
+        this->values[item.first] = item.second;
+    }
+    if (!preparedName.empty() && !this->preparedNames.count(preparedName)) {
+        TargetCommand prepare;
+        prepare.kind = TargetCommand::Kind::Prepare;
+        prepare.name = preparedName;
+        prepare.argument = prepared;
+        if (!co_await this->apply(prepare, timeout))
+            co_return false;
+        this->preparedNames.insert(preparedName);
+    }
+    co_return true;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/target_pool.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "catkinlock/clock.h"
+#include "catkinlock/target_message.h"
+#include "catkinlock/target_record.h"
+#include "libsession/member_choice.h"
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace catkinlock {
+
+class TargetLink;
+class TargetProtocol;
+struct LinkFailure;
+
+/// What one instance has seen of a member.
+struct MemberHealth {
+    TimePoint lastSuccess;
+    /// Since when it has failed without a success between; meaningful while `failures` is not 0.
+    TimePoint failingSince;
+    unsigned failures = 0;
+    TimePoint lastFailure;
+    /// Since when commits and writes have gone unanswered without a success between; the same for `lostWrites`.
+    TimePoint losingWritesSince;
+    unsigned lostWrites = 0;
+};
+
+/// The connections of this instance to one member: a few, each for one workspace, lent for a statement or a
+/// transaction. On the request thread.
+class TargetPool : public std::enable_shared_from_this<TargetPool> {
+public:
+    TargetPool(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>, TargetRecord);
+
+    /// Lends a connection for `workspace`, opening one or waiting for one until `deadline`. Lower `priority` goes
+    /// first.
+    boost::asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> borrow(
+        std::string workspace, std::uint32_t priority, TimePoint deadline);
+    /// Takes a connection back; a closed one, or one with an open transaction, is dropped.
+    void giveBack(std::shared_ptr<TargetLink>);
+
+    /// A statement that was sent `took` ago was answered; `wrote` if it was a write or a commit of writes.
+    void noteAnswer(Duration took, bool wrote, const Position&, TimePoint now);
+    void noteFailure(bool lostWrite, TimePoint now);
+    void setLimit(std::size_t connections) { this->limit = std::max<std::size_t>(connections, 1); }
+    void setTarget(const TargetRecord&);
+    /// Closes what has been idle for long.
+    void closeIdle(TimePoint now);
+    void closeAll();
+
+    MemberLoad load(const std::string& workspace, TimePoint now) const;
+    const MemberHealth& health() const { return this->seen; }
+    const Position& lastPosition() const { return this->position; }
+    const TargetRecord& target() const { return this->record; }
+    std::size_t open() const { return this->opened; }
+    std::size_t inUse() const { return this->opened - this->idle.size(); }
+    std::size_t waiting() const { return this->waiters.size(); }
+    std::uint64_t handshakes() const { return this->handshakeCount; }
+
+private:
+    struct Idle {
+        std::shared_ptr<TargetLink> link;
+        TimePoint since;
+    };
+    struct Waiter;
+
+    boost::asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> openLink(
+        std::string workspace, TimePoint deadline);
+    std::shared_ptr<TargetLink> takeIdle(const std::string& workspace);
+    void dropOldestIdle();
+    void releasePlace();
+
+    boost::asio::any_io_executor executor;
+    std::shared_ptr<const TargetProtocol> protocol;
+    TargetRecord record;
+    std::size_t limit = 1;
+    // Connections that are open or being opened.
+    std::size_t opened = 0;
+    // The longest idle first.
+    std::deque<Idle> idle;
+    std::list<std::shared_ptr<Waiter>> waiters;
+    MemberHealth seen;
+    Position position;
+    double typicalMs = 20;
+    std::uint64_t handshakeCount = 0;
+};
+
+} // namespace catkinlock
--- a/src/libtarget/member_pool.cpp
+++ b/src/libtarget/member_pool.cpp
@@ -47,7 +47,7 @@
         co_return tl::unexpected(
             notRun("queue_full", "too many requests of this workspace wait for the database; try again later"));
     auto ticket = std::make_shared<Ticket>();
-    ticket->timer = std::make_shared<asio::steady_timer>(this->executor, deadline);
+    ticket->timer = std::make_shared<asio::steady_timer>(this->executor, deadline - Clock::now());
     this->tickets[id] = ticket;
     co_await ticket->timer->async_wait(asio::as_tuple(asio::use_awaitable));
     this->tickets.erase(id);
--- a/src/libtarget/notifier.cpp
+++ b/src/libtarget/notifier.cpp
@@ -13,7 +13,7 @@
 
 asio::awaitable<void> Notifier::wait(TimePoint deadline)
 {
-    asio::steady_timer timer(this->executor, deadline);
+    asio::steady_timer timer(this->executor, deadline - Clock::now());
     auto place = this->waiters.insert(this->waiters.end(), &timer);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     this->waiters.erase(place);
--- a/src/libtarget/target_connection.cpp
+++ b/src/libtarget/target_connection.cpp
@@ -112,7 +112,7 @@
 
 void TargetConnection::arm(TimePoint deadline)
 {
-    this->state->timer.expires_at(deadline);
+    this->state->timer.expires_after(deadline - Clock::now());
     std::weak_ptr<TargetConnection> self = this->weak_from_this();
     this->state->timer.async_wait([self](boost::system::error_code error) {
         auto connection = self.lock();
@@ -123,7 +123,7 @@
 
 asio::awaitable<bool> TargetConnection::waitReadable()
 {
-    if (this->state->timer.expiry() <= Clock::now())
+    if (this->state->timer.expiry() <= asio::steady_timer::clock_type::now())
         co_return false;
     auto [error] = co_await this->state->descriptor.async_wait(
         asio::posix::stream_descriptor::wait_read, asio::as_tuple(asio::use_awaitable));
@@ -132,7 +132,7 @@
 
 asio::awaitable<bool> TargetConnection::waitWritable()
 {
-    if (this->state->timer.expiry() <= Clock::now())
+    if (this->state->timer.expiry() <= asio::steady_timer::clock_type::now())
         co_return false;
     auto [error] = co_await this->state->descriptor.async_wait(
         asio::posix::stream_descriptor::wait_write, asio::as_tuple(asio::use_awaitable));
