Replace lost primaries, hand over leaving ones; open connections apart from the statements that wait

Change: detection, fencing, choice and promotion under a duty in the store; a back-off from replicas that lag; an opening outlives its statement; keys and primaries are checked again before bytes leave.

--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -1,10 +1,12 @@
 #include "libserver/admission.h"
 
+#include "catkinlock/log.h"
 #include "catkinlock/membership.h"
 #include "catkinlock/rendezvous.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
 #include <cmath>
+#include <fmt/format.h>
 #include <random>
 
 namespace catkinlock {
@@ -34,6 +36,7 @@
     constexpr double borrowMargin = 1.1;
     // It gives back what is over this many times its demand.
     constexpr double surplusMargin = 1.3;
+    constexpr Milliseconds reportInterval { 2000 };
     constexpr std::size_t mostKnownLenders = 256;
 
 } // namespace
@@ -65,6 +68,9 @@
     // Address of the lender of each loan that is held.
     std::map<std::uint64_t, std::string> lenders;
     std::size_t turn = 0;
+    TimePoint reportedAt;
+    std::uint64_t admittedReported = 0;
+    std::uint64_t refusedReported = 0;
 };
 
 bool Admission::Purse::take()
@@ -101,6 +107,7 @@
     std::shared_ptr<Purse> purse = found->second;
     ++purse->arrivals;
     if (purse->take()) {
+        ++purse->admitted;
         ++this->admittedCount;
         co_return tl::expected<void, Refusal> {};
     }
@@ -114,6 +121,7 @@
     }
     --purse->waiting;
     ++(taken ? this->admittedCount : this->refusedCount);
+    ++(taken ? purse->admitted : purse->refused);
     if (!taken)
         co_return tl::unexpected(notRun("rate_exceeded", "the workspace is at its rate; try again later"));
     co_return tl::expected<void, Refusal> {};
@@ -146,6 +154,9 @@
             account = std::make_shared<Account>(workspace, now);
             account->shareSlots = rankSlots(name, this->slotCount, sharesPerWorkspace);
         } else if (account->workspace != workspace) {
+            writeLog(LogLevel::Info, "rate_changed",
+                { { "workspace", name }, { "rate", fmt::format("{}", workspace.rate) },
+                    { "burst", fmt::format("{}", workspace.burst) } });
             account->workspace = workspace;
             this->change(*account, now, [&](ShareBucket& bucket, std::int64_t level) {
                 return bucket.setRate(workspace.rate, workspace.burst, level);
@@ -202,10 +213,29 @@
             this->refill(*account, now);
             this->giveBackSurplus(name, *account, now);
             this->borrowFor(name, *account, now);
+            this->reportRefusals(name, *account, now);
         }
     }
 }
 
+// One line for all refusals of a while, whatever a workspace sends.
+void Admission::reportRefusals(const std::string& workspace, Account& account, TimePoint now)
+{
+    std::uint64_t refused = account.purse->refused.load();
+    if (refused == account.refusedReported || now - account.reportedAt < reportInterval)
+        return;
+    std::uint64_t admitted = account.purse->admitted.load();
+    writeLog(LogLevel::Info, "rate_limited",
+        { { "workspace", workspace }, { "admitted", fmt::format("{}", admitted - account.admittedReported) },
+            { "refused", fmt::format("{}", refused - account.refusedReported) },
+            { "rate", fmt::format("{}", account.workspace.rate) },
+            { "units", fmt::format("{}", account.bucket.units()) },
+            { "demand", fmt::format("{:.1f}", account.demand) } });
+    account.reportedAt = now;
+    account.admittedReported = admitted;
+    account.refusedReported = refused;
+}
+
 void Admission::refill(Account& account, TimePoint now)
 {
     this->change(account, now, [](ShareBucket&, std::int64_t level) { return level; });
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -58,6 +58,8 @@
         std::atomic<TimePoint> validUntil { TimePoint::min() };
         std::atomic<std::uint64_t> arrivals { 0 };
         std::atomic<std::uint32_t> waiting { 0 };
+        std::atomic<std::uint64_t> admitted { 0 };
+        std::atomic<std::uint64_t> refused { 0 };
 
         bool take();
     };
@@ -65,6 +67,7 @@
     using Purses = std::map<std::string, std::shared_ptr<Purse>>;
 
     boost::asio::awaitable<void> tick();
+    void reportRefusals(const std::string& workspace, Account&, TimePoint now);
     void refill(Account&, TimePoint now);
     void giveBackSurplus(const std::string& workspace, Account&, TimePoint now);
     void borrowFor(const std::string& workspace, Account&, TimePoint now);
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -220,6 +220,10 @@
         if (auto gateway = this->registry->find(envelope.group_note().database()))
             gateway->noteReachedByOther(envelope.group_note().term());
         return;
+    case wire::Envelope::kViewQuery:
+    case wire::Envelope::kViewNote:
+    case wire::Envelope::kPrimaryNote:
+        // Between instances that serve sessions.
     case wire::Envelope::BODY_NOT_SET:
         // A later release's message; this one has no use for it.
         return;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -9,6 +9,7 @@
 #include "libserver/service_level.h"
 #include "libserver/slot_keeper.h"
 #include "libsession/page_server.h"
+#include "libsession/promoter.h"
 #include "libsession/registration.h"
 #include "libsession/session_context.h"
 #include "libsession/session_front.h"
@@ -71,6 +72,7 @@
     std::shared_ptr<Membership> membership;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<Registration> registration;
+    std::shared_ptr<Promoter> promoter;
     std::shared_ptr<SlotKeeper> slotKeeper;
     std::shared_ptr<Admission> admission;
     std::shared_ptr<ServiceLevel> level = std::make_shared<ServiceLevel>();
@@ -135,6 +137,9 @@
                 const InstanceRecord* holder = this->membership->holderOf(slot);
                 return holder && holder->name != this->settings.name;
             } });
+    this->promoter = std::make_shared<Promoter>(this->control,
+        Promoter::Parts { this->platform.store, this->platform.promotions, this->platform.targets, this->mirror,
+            this->view, this->link, this->freshness->usableFor(), this->settings.name });
     this->admission->updateSlots({}, Clock::now(), this->settings.slots);
     writeLog(LogLevel::Info, "started",
         { { "callers", this->settings.callerAddress }, { "peer", peerAddress },
@@ -200,6 +205,16 @@
         return this->admission->receiveLoanReply(sender, envelope.loan_reply());
     case wire::Envelope::kLoanReturn:
         return this->admission->receiveLoanReturn(envelope.loan_return());
+    case wire::Envelope::kPrimaryNote:
+        return this->promoter->receivePrimaryNote(sender, envelope.primary_note());
+    case wire::Envelope::kViewNote:
+        return this->promoter->receiveViewNote(sender, envelope.view_note());
+    case wire::Envelope::kViewQuery: {
+        wire::Envelope answer;
+        answer.mutable_view_note()->set_revision(this->mirror->revision());
+        this->link->send(sender, answer);
+        return;
+    }
     default:
         // A message of the other kind of instance, or of a later release.
         return;
@@ -233,6 +248,8 @@
         { "configuration", "Version of the configuration in force", count(this->tablesInForce) },
         { "view_age_milliseconds", "Age of the last confirmed view of the store",
             count(this->freshness->age(Clock::now()).count()) },
+        { "primaries_replaced_total", "Primaries that this instance replaced", count(this->promoter->promotions()),
+            true },
         { "store_calls_total", "Calls to the metadata store", count(this->platform.store->calls()), true },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
     };
@@ -248,6 +265,8 @@
         if (this->builder.isUnsettled())
             this->publishView();
         this->level->sample(Clock::now());
+        if (this->lifecycle.state() == InstanceLifecycle::State::Serving)
+            this->promoter->look(Clock::now());
     }
 }
 
@@ -259,6 +278,11 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         this->sessions->groups->refresh(*this->view->read());
         this->sessions->groups->keepHouse(Clock::now());
+        auto sights = this->sessions->groups->sights();
+        auto acknowledged = this->sessions->groups->acknowledged();
+        asio::post(this->control, [this, sights = std::move(sights), acknowledged = std::move(acknowledged)] {
+            this->promoter->updateSights(sights, acknowledged);
+        });
     }
 }
 
@@ -286,6 +310,7 @@
     Milliseconds total = std::chrono::seconds(this->settings.drainSeconds);
     asio::steady_timer timer(this->control);
     this->sessions->leaving = true;
+    this->promoter->stop();
     for (;;) {
         timer.expires_after(drainStep);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/libsession/member_choice.cpp
+++ b/src/libsession/member_choice.cpp
@@ -4,10 +4,10 @@
 
 namespace {
 
-    constexpr Milliseconds handshakeTime { 15 };
+    constexpr Milliseconds handshakeTime { 30 };
     constexpr Milliseconds crossDataCentreTime { 3 };
-    // A refused read costs a round trip and another try.
-    constexpr Milliseconds behindPenalty { 25 };
+    // A member that refused such a read just now will most likely refuse it again.
+    constexpr Milliseconds behindPenalty { 500 };
     // The primary alone takes writes, so reads go there last among equals.
     constexpr Milliseconds primaryPenalty { 12 };
     constexpr Milliseconds suspectPenalty { 1000 };
--- /dev/null
+++ b/src/libsession/primary_watch.cpp
@@ -0,0 +1,34 @@
+#include "libsession/primary_watch.h"
+
+namespace catkinlock {
+
+namespace {
+
+    constexpr unsigned leastFailures = 2;
+
+    // How long the primary has been of no use here.
+    Duration uselessFor(const MemberHealth& health, const DetectionTimes& times, TimePoint now)
+    {
+        Duration silent = health.failures >= leastFailures ? now - health.failingSince : Duration(0);
+        Duration stalled = health.lostWrites >= leastFailures ? now - health.losingWritesSince : Duration(0);
+        // Lost writes alone take longer to mean something.
+        return std::max(silent, stalled - (times.stalledAfter - times.suspectAfter));
+    }
+
+} // namespace
+
+PrimaryVerdict judgePrimary(
+    const PrimaryEvidence& evidence, const DetectionTimes& times, Duration unknownFor, TimePoint now)
+{
+    if (!evidence.known)
+        return unknownFor >= times.unknownAfter ? PrimaryVerdict::Replace : PrimaryVerdict::Fine;
+    if (evidence.draining)
+        return PrimaryVerdict::HandOver;
+    Duration useless = uselessFor(evidence.health, times, now);
+    if (useless < times.suspectAfter)
+        return PrimaryVerdict::Fine;
+    bool mostAgree = evidence.othersSuspecting + 1 > evidence.othersReaching;
+    return useless >= times.lostAfter && mostAgree ? PrimaryVerdict::Replace : PrimaryVerdict::Suspect;
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/promotion_choice.cpp
@@ -0,0 +1,41 @@
+#include "libsession/promotion_choice.h"
+
+#include <algorithm>
+
+namespace catkinlock {
+
+namespace {
+
+    // Among equal logs a member that stays goes first.
+    bool isWorse(const MemberStanding& left, const MemberStanding& right)
+    {
+        return std::pair(left.report.received, !left.draining) < std::pair(right.report.received, !right.draining);
+    }
+
+} // namespace
+
+std::optional<std::string> choosePromotion(const std::vector<MemberStanding>& members, const Position& acknowledged)
+{
+    const MemberStanding* old = nullptr;
+    const MemberStanding* best = nullptr;
+    bool othersFenced = true;
+    for (const MemberStanding& member : members) {
+        if (member.wasPrimary)
+            old = &member;
+        else
+            othersFenced = othersFenced && member.fenced;
+        bool mayLead = member.fenced && !(member.wasPrimary && member.draining);
+        if (mayLead && (!best || isWorse(*best, member)))
+            best = &member;
+    }
+    if (!best)
+        return std::nullopt;
+    bool coversOld = old && old->fenced && best->report.received >= old->report.received;
+    if (!coversOld && !othersFenced)
+        return std::nullopt;
+    if (best->report.received < acknowledged)
+        return std::nullopt;
+    return best->id;
+}
+
+} // namespace catkinlock
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -168,7 +168,7 @@
 }
 
 // Who may run the statement, on which route and until when, by the tables that are in force now.
-tl::expected<StatementCall, TargetReply> Session::admitCall(const SessionStatement& statement) const
+tl::expected<StatementCall, TargetReply> Session::admitCall() const
 {
     TargetReply refusal;
     refusal.state = this->runner.state();
@@ -201,15 +201,20 @@
     call.arrivedAt = now;
     Milliseconds limit(call.route.statementTimeoutMs);
     call.deadline = now + (limit.count() ? limit - answerMargin : defaultStatementTimeout);
+    std::string digest = this->keyDigest;
+    bool open = call.route.open;
+    call.isAllowed = [context = this->context, digest, open] {
+        return open
+            || (context->freshness->isFresh(Clock::now()) && context->view->read()->tables->keys.count(digest));
+    };
     this->context->groups->refresh(*view);
-    (void)statement;
     return call;
 }
 
 asio::awaitable<TargetReply> Session::answer(SessionStatement statement)
 {
     ++this->context->statements;
-    auto call = this->admitCall(statement);
+    auto call = this->admitCall();
     if (!call) {
         TargetReply refusal = call.error();
         if (this->runner.state() == TransactionState::Open) {
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -33,7 +33,7 @@
     boost::asio::awaitable<std::optional<CallerMessage>> nextMessage();
     boost::asio::awaitable<bool> write(std::string bytes);
     boost::asio::awaitable<TargetReply> answer(SessionStatement);
-    tl::expected<StatementCall, TargetReply> admitCall(const SessionStatement&) const;
+    tl::expected<StatementCall, TargetReply> admitCall() const;
     void watchIdleTransaction();
     void record(const SessionStatement&, const TargetReply&, const StatementCall&) const;
 
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -1,5 +1,6 @@
 #include "libsession/session_runner.h"
 
+#include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
 #include "libsession/spawn.h"
 #include "libsession/target_link.h"
@@ -202,10 +203,22 @@
     co_return co_await this->readAlone(std::move(statement), std::move(call));
 }
 
-asio::awaitable<SessionRunner::Try> SessionRunner::exchange(std::shared_ptr<TargetLink> link,
-    std::shared_ptr<TargetPool> pool, SessionStatement statement, std::optional<Position> after, Milliseconds timeout)
+// What was true when the statement was placed may have changed while it waited.
+bool SessionRunner::mayStillRun(const Placement& placement, const StatementCall& call) const
+{
+    if (!call.isAllowed())
+        return false;
+    if (!placement.isPrimary)
+        return true;
+    auto primary = this->context->view->read()->primaryOf(call.route.pool);
+    return primary && primary->id == placement.pool->target().id && this->context->freshness->isFresh(Clock::now());
+}
+
+asio::awaitable<SessionRunner::Try> SessionRunner::exchange(std::shared_ptr<TargetLink> link, Placement placement,
+    SessionStatement statement, StatementCall call, Milliseconds timeout)
 {
     Try result;
+    std::shared_ptr<TargetPool> pool = placement.pool;
     std::string preparedName = this->preparedNameFor(statement);
     std::string preparedText;
     if (!preparedName.empty())
@@ -218,8 +231,14 @@
         co_return result;
     }
     TimePoint sentAt = Clock::now();
+    if (!this->mayStillRun(placement, call)) {
+        result.reply.error = StatementError::Busy;
+        result.reply.errorText = "the key or the primary changed, or can't be confirmed any more";
+        result.reply.state = link->state();
+        co_return result;
+    }
     bool wrote = this->writes(statement) || (statement.kind == StatementKind::Commit && this->transaction.wrote);
-    auto reply = co_await link->send(statement, after, preparedName, timeout);
+    auto reply = co_await link->send(statement, placement.after, preparedName, timeout);
     TimePoint now = Clock::now();
     if (!reply) {
         pool->noteFailure(wrote, now);
@@ -231,6 +250,10 @@
     bool notRun = result.reply.error && isNotRun(*result.reply.error);
     result.fate = notRun ? Try::Fate::NotRun : Try::Fate::Answered;
     bool done = !result.reply.error;
+    if (result.reply.error == StatementError::Lagging) {
+        pool->noteLagging(result.reply.position, now);
+        co_return result;
+    }
     pool->noteAnswer(now - sentAt, wrote && done, result.reply.position, now);
     auto view = this->context->view->read();
     auto primary = view->primaryOf(pool->target().service);
@@ -240,6 +263,19 @@
     co_return result;
 }
 
+void SessionRunner::recordTry(
+    const Try& result, const SessionStatement& statement, const std::optional<Position>& after) const
+{
+    if (result.fate == Try::Fate::Answered && !result.reply.error)
+        return;
+    Position floor = after.value_or(Position {});
+    writeLog(LogLevel::Info, "try_failed",
+        { { "request", statement.id }, { "member", this->member },
+            { "reason", result.reply.error ? statementErrorName(*result.reply.error) : "lost" },
+            { "detail", result.reply.errorText }, { "needed", fmt::format("{}.{}", floor.term, floor.lsn) },
+            { "position", fmt::format("{}.{}", result.reply.position.term, result.reply.position.lsn) } });
+}
+
 asio::awaitable<SessionRunner::Try> SessionRunner::tryOn(
     Placement placement, SessionStatement statement, StatementCall call, Milliseconds timeout)
 {
@@ -250,13 +286,13 @@
     auto link = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil);
     Try result;
     if (!link) {
-        if (!link.error().refusal)
-            placement.pool->noteFailure(false, Clock::now());
         result.reply.error = link.error().refusal.value_or(StatementError::Busy);
         result.reply.errorText = link.error().message;
+        this->recordTry(result, statement, placement.after);
         co_return result;
     }
-    result = co_await this->exchange(*link, placement.pool, std::move(statement), placement.after, timeout);
+    result = co_await this->exchange(*link, placement, statement, call, timeout);
+    this->recordTry(result, statement, placement.after);
     giveBackClean(this->context->executor, placement.pool, *link);
     result.reply.state = TransactionState::Idle;
     co_return result;
@@ -334,8 +370,6 @@
         TimePoint waitUntil = std::min(call.deadline, Clock::now() + wait);
         auto link = co_await placement->pool->borrow(call.workspace, call.route.priority, waitUntil);
         if (!link) {
-            if (!link.error().refusal)
-                placement->pool->noteFailure(false, Clock::now());
             failure.errorText = link.error().message;
             continue;
         }
@@ -354,6 +388,10 @@
     TargetCommand begin;
     begin.kind = this->transaction.readOnly ? TargetCommand::Kind::BeginRead : TargetCommand::Kind::Begin;
     tl::expected<TargetReply, LinkFailure> reply;
+    if (adopted && !this->mayStillRun(placement, call)) {
+        failure.errorText = "the key or the primary changed, or can't be confirmed any more";
+        co_return false;
+    }
     if (adopted)
         reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
     if (!adopted || !reply) {
@@ -371,6 +409,14 @@
     co_return true;
 }
 
+// A transaction sees what its member had when it began, and a member that lost the lead refuses what would write.
+Placement SessionRunner::transactionPlacement() const
+{
+    Placement placement;
+    placement.pool = this->transaction.pool;
+    return placement;
+}
+
 asio::awaitable<TargetReply> SessionRunner::runInTransaction(SessionStatement statement, StatementCall call)
 {
     if (this->transaction.readOnly && this->writes(statement))
@@ -385,8 +431,9 @@
     bool wrote = this->writes(statement);
     for (unsigned i = 0; i < mostBusyTries; ++i) {
         ++this->tries;
-        Try result = co_await this->exchange(this->transaction.link, this->transaction.pool, statement, std::nullopt,
-            timeLeft(call.deadline));
+        Placement bound = this->transactionPlacement();
+        Try result
+            = co_await this->exchange(this->transaction.link, bound, statement, call, timeLeft(call.deadline));
         if (!result.reply.error && result.fate == Try::Fate::Answered) {
             this->transaction.wrote = this->transaction.wrote || wrote;
             result.reply.state = TransactionState::Open;
@@ -419,8 +466,9 @@
     ++this->tries;
     std::string service = this->transaction.service;
     bool wrote = this->transaction.wrote;
+    Placement bound = this->transactionPlacement();
     Try result = co_await this->exchange(
-        this->transaction.link, this->transaction.pool, std::move(statement), std::nullopt, timeLeft(call.deadline));
+        this->transaction.link, bound, std::move(statement), call, timeLeft(call.deadline));
     this->abandon();
     this->transaction.state = TransactionState::Idle;
     if (result.fate == Try::Fate::Lost) {
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -8,6 +8,7 @@
 #include "libsession/session_context.h"
 #include "libsession/target_groups.h"
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,6 +21,8 @@
     std::string workspace;
     TimePoint arrivedAt;
     TimePoint deadline;
+    /// False once the caller may no longer run it; asked again before bytes leave for a member.
+    std::function<bool()> isAllowed;
 };
 
 /// Runs the statements of one session on the members: keeps its values and prepared statements, its open transaction
@@ -76,9 +79,12 @@
     boost::asio::awaitable<TargetReply> commit(SessionStatement, StatementCall);
     boost::asio::awaitable<bool> bind(StatementCall, TargetReply& failure);
     boost::asio::awaitable<bool> beginOn(std::shared_ptr<TargetLink>, Placement, StatementCall, TargetReply& failure);
+    void recordTry(const Try&, const SessionStatement&, const std::optional<Position>& after) const;
     boost::asio::awaitable<Try> tryOn(Placement, SessionStatement, StatementCall, Milliseconds timeout);
-    boost::asio::awaitable<Try> exchange(std::shared_ptr<TargetLink>, std::shared_ptr<TargetPool>, SessionStatement,
-        std::optional<Position> after, Milliseconds timeout);
+    Placement transactionPlacement() const;
+    bool mayStillRun(const Placement&, const StatementCall&) const;
+    boost::asio::awaitable<Try> exchange(
+        std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, Milliseconds timeout);
 
     std::shared_ptr<SessionContext> context;
     std::map<std::string, std::string> values;
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -88,7 +88,7 @@
         load.isPrimary = isPrimary;
         load.sameDataCentre = target.dataCentre == this->dataCentre;
         load.wasTried = tried.count(target.id) != 0;
-        load.seemsBehind = !isPrimary && pool->lastPosition() < *floor;
+        load.seemsBehind = !isPrimary && pool->seemsBehind(*floor, now);
         loads.push_back(load);
         pools.push_back(pool);
     }
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "libsession/target_pool.h"
 
+#include "libsession/spawn.h"
 #include "libsession/target_link.h"
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -11,8 +12,11 @@
 namespace {
 
     constexpr Milliseconds openTimeout { 700 };
-    constexpr Milliseconds idleLifetime { 20000 };
+    constexpr Milliseconds idleLifetime { 30000 };
     constexpr Milliseconds suspectFor { 1500 };
+    // A member that lags is asked again after this time, which doubles while it lags.
+    constexpr Milliseconds firstBehindPause { 40 };
+    constexpr Milliseconds longestBehindPause { 640 };
     constexpr unsigned failuresUntilSuspect = 2;
     // Weight of a new time in the smoothed one.
     constexpr double timeWeight = 0.1;
@@ -30,7 +34,8 @@
     std::string workspace;
     std::uint32_t priority;
     std::shared_ptr<TargetLink> given;
-    bool mayOpen = false;
+    // What the statement is told if it gets no connection.
+    LinkFailure failure { false, StatementError::Busy, "all connections to the member are in use" };
 };
 
 TargetPool::TargetPool(
@@ -63,22 +68,43 @@
     --this->opened;
 }
 
-asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> TargetPool::openLink(
-    std::string workspace, TimePoint deadline)
+std::shared_ptr<TargetPool::Waiter> TargetPool::takeWaiter(const std::string& workspace)
+{
+    auto found = std::find_if(this->waiters.begin(), this->waiters.end(),
+        [&workspace](const auto& waiter) { return waiter->workspace == workspace; });
+    if (found == this->waiters.end())
+        return nullptr;
+    auto waiter = *found;
+    this->waiters.erase(found);
+    return waiter;
+}
+
+void TargetPool::startOpening(const std::string& workspace)
+{
+    ++this->opened;
+    spawn(this->executor, [self = this->shared_from_this(), workspace] { return self->openFor(workspace); });
+}
+
+// An opening outlives the statement that asked for it: the next one of the workspace finds the connection.
+asio::awaitable<void> TargetPool::openFor(std::string workspace)
 {
     auto self = this->shared_from_this();
     ++this->handshakeCount;
     auto link = std::make_shared<TargetLink>(this->executor, this->protocol);
-    auto timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now());
-    Milliseconds timeout = std::clamp(timeLeft, Milliseconds(1), openTimeout);
     TargetRecord target = this->record;
-    auto opening = co_await link->open(target, workspace, timeout);
-    if (!opening) {
-        link->close();
-        this->releasePlace();
-        co_return tl::unexpected(opening.error());
+    auto opening = co_await link->open(target, workspace, openTimeout);
+    if (opening) {
+        this->handOver(link);
+        co_return;
     }
-    co_return link;
+    if (!opening.error().refusal)
+        this->noteFailure(false, Clock::now());
+    link->close();
+    if (auto waiter = this->takeWaiter(workspace)) {
+        waiter->failure = opening.error();
+        waiter->timer.cancel();
+    }
+    this->releasePlace();
 }
 
 asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> TargetPool::borrow(
@@ -89,10 +115,8 @@
         co_return link;
     if (this->opened >= this->limit && !this->idle.empty())
         this->dropOldestIdle();
-    if (this->opened < this->limit) {
-        ++this->opened;
-        co_return co_await this->openLink(workspace, deadline);
-    }
+    if (this->opened < this->limit)
+        this->startOpening(workspace);
     auto waiter = std::make_shared<Waiter>(this->executor, workspace, priority);
     auto place = std::find_if(this->waiters.begin(), this->waiters.end(),
         [priority](const auto& other) { return other->priority > priority; });
@@ -101,47 +125,40 @@
     co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (waiter->given)
         co_return waiter->given;
-    if (waiter->mayOpen)
-        co_return co_await this->openLink(workspace, deadline);
     this->waiters.remove(waiter);
-    LinkFailure failure;
-    failure.refusal = StatementError::Busy;
-    failure.message = "all connections to the member are in use";
-    co_return tl::unexpected(failure);
+    co_return tl::unexpected(waiter->failure);
 }
 
-// A connection has ended: the next waiter may open one in its place.
+// A connection has ended: one is opened in its place if a statement waits for it.
 void TargetPool::releasePlace()
 {
-    if (this->waiters.empty() || this->opened > this->limit) {
-        --this->opened;
-        return;
-    }
-    auto waiter = this->waiters.front();
-    this->waiters.pop_front();
-    waiter->mayOpen = true;
-    waiter->timer.cancel();
+    --this->opened;
+    if (!this->waiters.empty() && this->opened < this->limit)
+        this->startOpening(this->waiters.front()->workspace);
 }
 
 void TargetPool::giveBack(std::shared_ptr<TargetLink> link)
 {
-    bool usable = link->isOpen() && link->state() == TransactionState::Idle && this->opened <= this->limit;
-    if (!usable) {
-        link->close();
-        return this->releasePlace();
+    if (link->isOpen() && link->state() == TransactionState::Idle && this->opened <= this->limit)
+        return this->handOver(std::move(link));
+    link->close();
+    this->releasePlace();
+}
+
+void TargetPool::handOver(std::shared_ptr<TargetLink> link)
+{
+    if (auto waiter = this->takeWaiter(link->workspace())) {
+        waiter->given = std::move(link);
+        waiter->timer.cancel();
+        return;
     }
     if (this->waiters.empty()) {
         this->idle.push_back({ std::move(link), Clock::now() });
         return;
     }
-    auto waiter = this->waiters.front();
-    if (waiter->workspace != link->workspace()) {
-        link->close();
-        return this->releasePlace();
-    }
-    this->waiters.pop_front();
-    waiter->given = std::move(link);
-    waiter->timer.cancel();
+    // Statements of other workspaces wait, and can't use this connection.
+    link->close();
+    this->releasePlace();
 }
 
 void TargetPool::noteAnswer(Duration took, bool wrote, const Position& at, TimePoint now)
@@ -154,10 +171,27 @@
     this->typicalMs += timeWeight * (ms - this->typicalMs);
     if (at.term)
         this->position = at;
+    this->behindPause = Milliseconds(0);
+}
+
+void TargetPool::noteLagging(const Position& had, TimePoint now)
+{
+    this->position = had;
+    if (now < this->behindUntil)
+        return;
+    this->behindPause = std::clamp(this->behindPause * 2, firstBehindPause, longestBehindPause);
+    this->behindUntil = now + this->behindPause;
+}
+
+bool TargetPool::seemsBehind(const Position& floor, TimePoint now) const
+{
+    return now < this->behindUntil && this->position < floor;
 }
 
 void TargetPool::noteFailure(bool lostWrite, TimePoint now)
 {
+    // Connections may have gone silent together, so the next statement opens a new one.
+    this->closeAll();
     if (!this->seen.failures++)
         this->seen.failingSince = now;
     this->seen.lastFailure = now;
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -47,6 +47,10 @@
     /// A statement that was sent `took` ago was answered; `wrote` if it was a write or a commit of writes.
     void noteAnswer(Duration took, bool wrote, const Position&, TimePoint now);
     void noteFailure(bool lostWrite, TimePoint now);
+    /// The member lacked a position that a read needed.
+    void noteLagging(const Position& had, TimePoint now);
+    /// True while it is not worth asking the member for data at `floor`.
+    bool seemsBehind(const Position& floor, TimePoint now) const;
     void setLimit(std::size_t connections) { this->limit = std::max<std::size_t>(connections, 1); }
     void setTarget(const TargetRecord&);
     /// Closes what has been idle for long.
@@ -69,8 +73,10 @@
     };
     struct Waiter;
 
-    boost::asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> openLink(
-        std::string workspace, TimePoint deadline);
+    boost::asio::awaitable<void> openFor(std::string workspace);
+    void startOpening(const std::string& workspace);
+    void handOver(std::shared_ptr<TargetLink>);
+    std::shared_ptr<Waiter> takeWaiter(const std::string& workspace);
     std::shared_ptr<TargetLink> takeIdle(const std::string& workspace);
     void dropOldestIdle();
     void releasePlace();
@@ -87,6 +93,8 @@
     MemberHealth seen;
     Position position;
     double typicalMs = 20;
+    TimePoint behindUntil;
+    Milliseconds behindPause { 0 };
     std::uint64_t handshakeCount = 0;
 };
 
