Take over slots of an earlier start, open more connections when busy, probe a lost store at once

Cause: after all were killed the old slots lay under leases of 12 s, so every operation was refused; 2,937 tries found all connections in use; a lost store was asked with long waits.

--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -25,6 +25,17 @@
     constexpr Milliseconds firstClaimPause { 500 };
     constexpr Milliseconds longestClaimPause { 30000 };
 
+    // True if a slot's value names this instance at this address. Nobody else can listen there.
+    bool isHeldBy(const std::string& text, const std::string& instance, const std::string& peerAddress)
+    {
+        boost::json::error_code error;
+        boost::json::value value = boost::json::parse(text, error);
+        const boost::json::object* object = error ? nullptr : value.if_object();
+        const boost::json::value* name = object ? object->if_contains("instance") : nullptr;
+        const boost::json::value* peer = object ? object->if_contains("peer") : nullptr;
+        return name && peer && *name == boost::json::value(instance) && *peer == boost::json::value(peerAddress);
+    }
+
 } // namespace
 
 SlotKeeper::SlotKeeper(
@@ -121,15 +132,12 @@
 
 asio::awaitable<void> SlotKeeper::claimMissing()
 {
-    if (!this->slotsRead) {
-        auto range = co_await this->platform->readPrefix(slotPrefix);
-        if (!range)
-            co_return;
-        this->takenByOthers.clear();
-        for (const KeyValue& value : range->values)
-            this->takenByOthers.insert(static_cast<std::uint32_t>(
-                std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10)));
-        this->slotsRead = true;
+    if (!this->slotsRead && !co_await this->readSlots())
+        co_return;
+    // An earlier start on this address has ended, and its loans with it, so its slots are this one's.
+    for (auto [slot, revision] : std::exchange(this->leftBehind, {})) {
+        if (this->lease)
+            co_await this->claim(slot, revision);
     }
     // Each instance starts elsewhere, so that they seldom want the same slot.
     std::uint32_t first = static_cast<std::uint32_t>(stableHash(this->options.instance) % this->options.slotCount);
@@ -138,7 +146,7 @@
         std::uint32_t slot = (first + i) % this->options.slotCount;
         if (this->slots.count(slot) || this->takenByOthers.count(slot) || this->hooks.isTaken(slot))
             continue;
-        if (!co_await this->claim(slot))
+        if (!co_await this->claim(slot, 0))
             this->takenByOthers.insert(slot);
         if (!this->lease)
             co_return;
@@ -148,12 +156,30 @@
     this->announce();
 }
 
-asio::awaitable<bool> SlotKeeper::claim(std::uint32_t slot)
+asio::awaitable<bool> SlotKeeper::readSlots()
+{
+    auto range = co_await this->platform->readPrefix(slotPrefix);
+    if (!range)
+        co_return false;
+    this->takenByOthers.clear();
+    for (const KeyValue& value : range->values) {
+        auto slot = static_cast<std::uint32_t>(
+            std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10));
+        if (!this->slots.count(slot) && isHeldBy(value.value, this->options.instance, this->options.peerAddress))
+            this->leftBehind[slot] = value.revision;
+        else
+            this->takenByOthers.insert(slot);
+    }
+    this->slotsRead = true;
+    co_return true;
+}
+
+asio::awaitable<bool> SlotKeeper::claim(std::uint32_t slot, std::int64_t expected)
 {
     std::int64_t claimLease = this->lease;
     std::string value = boost::json::serialize(boost::json::object {
         { "instance", this->options.instance }, { "peer", this->options.peerAddress }, { "lease", claimLease } });
-    auto swapped = co_await this->platform->swap(this->keyOf(slot), 0, value, claimLease);
+    auto swapped = co_await this->platform->swap(this->keyOf(slot), expected, value, claimLease);
     bool mine = swapped && swapped->swapped;
     if (!swapped && swapped.error().mayHaveRun) {
         // The answer is lost; the key tells who has the slot.
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -3,6 +3,7 @@
 #include "catkinlock/metadata_store.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -44,7 +45,8 @@
     boost::asio::awaitable<void> keep();
     boost::asio::awaitable<bool> renew();
     boost::asio::awaitable<void> claimMissing();
-    boost::asio::awaitable<bool> claim(std::uint32_t slot);
+    boost::asio::awaitable<bool> claim(std::uint32_t slot, std::int64_t expected);
+    boost::asio::awaitable<bool> readSlots();
     boost::asio::awaitable<void> releaseSurplus();
     boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
     std::size_t fairShare() const;
@@ -58,6 +60,8 @@
     Hooks hooks;
     std::set<std::uint32_t> slots;
     std::set<std::uint32_t> takenByOthers;
+    // Slots that an earlier start of this instance left, and the revisions of their keys.
+    std::map<std::uint32_t, std::int64_t> leftBehind;
     std::int64_t lease = 0;
     TimePoint validUntil;
     TimePoint renewAt;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -251,7 +251,7 @@
     result.fate = notRun ? Try::Fate::NotRun : Try::Fate::Answered;
     bool done = !result.reply.error;
     if (result.reply.error == StatementError::Lagging) {
-        pool->noteLagging(result.reply.position, now);
+        pool->noteLagging(placement.after.value_or(Position {}), result.reply.position, now);
         co_return result;
     }
     pool->noteAnswer(now - sentAt, wrote && done, result.reply.position, now);
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -13,6 +13,8 @@
 
     // An answer without changes confirms the copy as of the question, so this bounds how old a confirmed view gets.
     constexpr Milliseconds pollWait { 1500 };
+    // A store that was lost is asked for an answer at once.
+    constexpr Milliseconds probeWait { 1 };
     constexpr Milliseconds firstPause { 100 };
     constexpr Milliseconds longestPause { 800 };
     constexpr unsigned mostDoublings = 3;
@@ -99,7 +101,7 @@
 asio::awaitable<bool> StoreMirror::poll()
 {
     TimePoint askedAt = Clock::now();
-    auto answer = co_await this->store->changesAfter("", this->seen, pollWait);
+    auto answer = co_await this->store->changesAfter("", this->seen, this->failures ? probeWait : pollWait);
     if (!answer) {
         co_await this->pauseAfterFailure(answer.error().message);
         co_return true;
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -43,7 +43,7 @@
         pool->setTarget(target);
         auto service = view.tables->pools.find(target.service);
         std::size_t bound = service == view.tables->pools.end() ? 1 : service->second.databases.front().connections;
-        pool->setLimit((bound - std::min(bound, reservedConnections)) / instances);
+        pool->setShare((bound - std::min(bound, reservedConnections)) / instances);
     }
 }
 
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -13,10 +13,13 @@
 
     constexpr Milliseconds openTimeout { 700 };
     constexpr Milliseconds idleLifetime { 30000 };
+    // Several times its share is what a busy instance may hold while others are idle.
+    constexpr std::size_t mostShares = 3;
+    constexpr Milliseconds pressedTime { 500 };
     constexpr Milliseconds suspectFor { 1500 };
     // A member that lags is asked again after this time, which doubles while it lags.
     constexpr Milliseconds firstBehindPause { 40 };
-    constexpr Milliseconds longestBehindPause { 640 };
+    constexpr Milliseconds longestBehindPause { 1000 };
     constexpr unsigned failuresUntilSuspect = 2;
     // Weight of a new time in the smoothed one.
     constexpr double timeWeight = 0.1;
@@ -48,6 +51,13 @@
 
 void TargetPool::setTarget(const TargetRecord& next) { this->record = next; }
 
+void TargetPool::setShare(std::size_t connections) { this->share = std::max<std::size_t>(connections, 1); }
+
+std::size_t TargetPool::limit() const
+{
+    return Clock::now() < this->pressedUntil ? this->share : this->share * mostShares;
+}
+
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
 {
     // The one used last is the least likely to have gone silent.
@@ -99,6 +109,8 @@
     }
     if (!opening.error().refusal)
         this->noteFailure(false, Clock::now());
+    if (opening.error().refusal == StatementError::ConnectionLimit)
+        this->pressedUntil = Clock::now() + pressedTime;
     link->close();
     if (auto waiter = this->takeWaiter(workspace)) {
         waiter->failure = opening.error();
@@ -113,9 +125,9 @@
     auto self = this->shared_from_this();
     if (auto link = this->takeIdle(workspace))
         co_return link;
-    if (this->opened >= this->limit && !this->idle.empty())
+    if (this->opened >= this->limit() && !this->idle.empty())
         this->dropOldestIdle();
-    if (this->opened < this->limit)
+    if (this->opened < this->limit())
         this->startOpening(workspace);
     auto waiter = std::make_shared<Waiter>(this->executor, workspace, priority);
     auto place = std::find_if(this->waiters.begin(), this->waiters.end(),
@@ -133,13 +145,13 @@
 void TargetPool::releasePlace()
 {
     --this->opened;
-    if (!this->waiters.empty() && this->opened < this->limit)
+    if (!this->waiters.empty() && this->opened < this->limit())
         this->startOpening(this->waiters.front()->workspace);
 }
 
 void TargetPool::giveBack(std::shared_ptr<TargetLink> link)
 {
-    if (link->isOpen() && link->state() == TransactionState::Idle && this->opened <= this->limit)
+    if (link->isOpen() && link->state() == TransactionState::Idle && this->opened <= this->limit())
         return this->handOver(std::move(link));
     link->close();
     this->releasePlace();
@@ -154,6 +166,8 @@
     }
     if (this->waiters.empty()) {
         this->idle.push_back({ std::move(link), Clock::now() });
+        while (this->opened > this->share && !this->idle.empty())
+            this->dropOldestIdle();
         return;
     }
     // Statements of other workspaces wait, and can't use this connection.
@@ -171,11 +185,13 @@
     this->typicalMs += timeWeight * (ms - this->typicalMs);
     if (at.term)
         this->position = at;
-    this->behindPause = Milliseconds(0);
+    if (at >= this->behindFloor)
+        this->behindPause = Milliseconds(0);
 }
 
-void TargetPool::noteLagging(const Position& had, TimePoint now)
+void TargetPool::noteLagging(const Position& floor, const Position& had, TimePoint now)
 {
+    this->behindFloor = floor;
     this->position = had;
     if (now < this->behindUntil)
         return;
@@ -220,7 +236,7 @@
     load.typicalTime = Milliseconds(static_cast<std::int64_t>(this->typicalMs));
     load.hasConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const Idle& item) { return item.link->workspace() == workspace; });
-    load.isFull = !load.hasConnection && this->inUse() >= this->limit;
+    load.isFull = !load.hasConnection && this->inUse() >= this->limit();
     load.isSuspect
         = this->seen.failures >= failuresUntilSuspect && now - this->seen.lastFailure < suspectFor;
     return load;
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -47,11 +47,12 @@
     /// A statement that was sent `took` ago was answered; `wrote` if it was a write or a commit of writes.
     void noteAnswer(Duration took, bool wrote, const Position&, TimePoint now);
     void noteFailure(bool lostWrite, TimePoint now);
-    /// The member lacked a position that a read needed.
-    void noteLagging(const Position& had, TimePoint now);
+    /// The member lacked the position `floor` that a read needed.
+    void noteLagging(const Position& floor, const Position& had, TimePoint now);
     /// True while it is not worth asking the member for data at `floor`.
     bool seemsBehind(const Position& floor, TimePoint now) const;
-    void setLimit(std::size_t connections) { this->limit = std::max<std::size_t>(connections, 1); }
+    /// `share`: connections that every instance may keep. A busy one opens more until the member refuses.
+    void setShare(std::size_t connections);
     void setTarget(const TargetRecord&);
     /// Closes what has been idle for long.
     void closeIdle(TimePoint now);
@@ -75,6 +76,7 @@
 
     boost::asio::awaitable<void> openFor(std::string workspace);
     void startOpening(const std::string& workspace);
+    std::size_t limit() const;
     void handOver(std::shared_ptr<TargetLink>);
     std::shared_ptr<Waiter> takeWaiter(const std::string& workspace);
     std::shared_ptr<TargetLink> takeIdle(const std::string& workspace);
@@ -84,7 +86,9 @@
     boost::asio::any_io_executor executor;
     std::shared_ptr<const TargetProtocol> protocol;
     TargetRecord record;
-    std::size_t limit = 1;
+    std::size_t share = 1;
+    // Until then only the share is used, because the member has refused more.
+    TimePoint pressedUntil;
     // Connections that are open or being opened.
     std::size_t opened = 0;
     // The longest idle first.
@@ -93,6 +97,7 @@
     MemberHealth seen;
     Position position;
     double typicalMs = 20;
+    Position behindFloor;
     TimePoint behindUntil;
     Milliseconds behindPause { 0 };
     std::uint64_t handshakeCount = 0;
