Check a decision against the stored record once the duty is held; let evidence against a primary lapse

Ruled out: the choice of the member (both logs were equal) and the fence. Change: the record is read from the store under the duty and must be the one that the decision was based on; nothing is promoted while any member leads unfenced; failures and lost writes count only while new ones come.

--- a/src/libsession/primary_watch.cpp
+++ b/src/libsession/primary_watch.cpp
@@ -5,12 +5,17 @@
 namespace {
 
     constexpr unsigned leastFailures = 2;
+    // Single answers get lost while a primary is well.
+    constexpr unsigned leastLostWrites = 3;
 
     // How long the primary has been of no use here.
     Duration uselessFor(const MemberHealth& health, const DetectionTimes& times, TimePoint now)
     {
-        Duration silent = health.failures >= leastFailures ? now - health.failingSince : Duration(0);
-        Duration stalled = health.lostWrites >= leastFailures ? now - health.losingWritesSince : Duration(0);
+        bool silentLately = health.failures >= leastFailures && now - health.lastFailure < times.evidenceLifetime;
+        bool stalledLately
+            = health.lostWrites >= leastLostWrites && now - health.lastLostWrite < times.evidenceLifetime;
+        Duration silent = silentLately ? now - health.failingSince : Duration(0);
+        Duration stalled = stalledLately ? now - health.losingWritesSince : Duration(0);
         // Lost writes alone take longer to mean something.
         return std::max(silent, stalled - (times.stalledAfter - times.suspectAfter));
     }
--- a/src/libsession/primary_watch.h
+++ b/src/libsession/primary_watch.h
@@ -36,6 +36,8 @@
     Milliseconds stalledAfter { 1000 };
     /// Silence until it counts as lost, so that the others have had time to say what they see.
     Milliseconds lostAfter { 1100 };
+    /// Evidence that nothing was added to for this long says nothing any more.
+    Milliseconds evidenceLifetime { 2500 };
     /// How long no primary may be known before one is made.
     Milliseconds unknownAfter { 2500 };
 };
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -36,6 +36,8 @@
     constexpr Milliseconds longestLeadWait { 4000 };
     // What a view may be used longer than its time, by a process that was on its way to use it.
     constexpr Milliseconds viewMargin { 150 };
+    // A planned handover lets the replicas receive what the primary still had for this many rounds.
+    constexpr unsigned roundsBeforePause = 3;
     constexpr const char* operatorName = "catkinlock";
 
     std::string text(std::int64_t number) { return fmt::format("{}", number); }
@@ -125,9 +127,14 @@
             { "others_suspecting", text(static_cast<std::int64_t>(evidence.othersSuspecting)) },
             { "others_reaching", text(static_cast<std::int64_t>(evidence.othersReaching)) },
             { "view_revision", text(view.revision) } });
-    bool planned = verdict == PrimaryVerdict::HandOver;
-    spawn(this->context,
-        [self = this->shared_from_this(), service, planned] { return self->replace(service, planned); });
+    Decision decision;
+    decision.service = service;
+    decision.planned = verdict == PrimaryVerdict::HandOver;
+    decision.primary = evidence.known ? watch.primary : "";
+    auto record = view.groups.find(service);
+    if (record != view.groups.end())
+        decision.record = record->second;
+    spawn(this->context, [self = this->shared_from_this(), decision] { return self->replace(decision); });
 }
 
 void Promoter::askOthers(const std::string& service, const std::string& primary, bool asks)
@@ -176,34 +183,32 @@
     seen = std::max(seen, note.revision());
 }
 
-asio::awaitable<void> Promoter::replace(std::string service, bool planned)
+asio::awaitable<void> Promoter::replace(Decision decision)
 {
     auto self = this->shared_from_this();
+    std::string service = decision.service;
     // Instances line up in an order of the group's own, so that one goes first and the others find its work done.
     auto view = this->parts.view->read();
     std::uint64_t own = stableHash(this->parts.instance, stableHash(service));
     std::size_t rank = 0;
     for (const auto& [name, address] : view->instances)
         rank += stableHash(name, stableHash(service)) < own;
-    std::int64_t serialBefore = view->groups.count(service) ? static_cast<std::int64_t>(view->groups.at(service).term) : 0;
-    std::string primaryBefore = this->watches[service].primary;
     co_await this->pause(rankDelay * static_cast<int>(std::min(rank, mostRanks)));
     auto later = this->parts.view->read();
     auto record = later->groups.find(service);
-    bool changed = record != later->groups.end()
-        && (static_cast<std::int64_t>(record->second.term) != serialBefore || record->second.primary != primaryBefore);
+    std::optional<GroupRecord> recordNow;
+    if (record != later->groups.end())
+        recordNow = record->second;
     Duty duty;
     bool mine = false;
-    if (!changed)
+    if (recordNow == decision.record)
         mine = co_await this->takeDuty(duty);
-    bool done = false;
     if (mine) {
-        done = co_await this->carryOut(service, planned, duty);
+        bool done = co_await this->carryOut(decision, duty);
         co_await this->parts.store->revokeLease(duty.lease);
-    }
-    if (mine)
         writeLog(done ? LogLevel::Info : LogLevel::Warning, done ? "primary_replaced" : "primary_not_replaced",
             { { "service", service }, { "fencing_token", text(duty.token) } });
+    }
     Watch& watch = this->watches[service];
     watch.busy = false;
     watch.notBefore = Clock::now() + retryPause;
@@ -249,23 +254,21 @@
         duty.validUntil = askedAt;
 }
 
-// The revision that wrote the record; 0 if it could not be written.
-asio::awaitable<std::int64_t> Promoter::writeRecord(std::string service, GroupRecord record)
+asio::awaitable<PlatformResult<std::optional<KeyValue>>> Promoter::readRecord(std::string service)
+{
+    return this->parts.store->read(groupPrefix + service);
+}
+
+// Replaces the record of revision `expected`. The revision that wrote the new one; 0 if it could not be written.
+asio::awaitable<std::int64_t> Promoter::writeRecord(std::string service, std::int64_t expected, GroupRecord record)
 {
-    std::string key = groupPrefix + service;
     std::string value = writeGroupRecord(record);
-    auto found = co_await this->parts.store->read(key);
-    if (!found)
-        co_return 0;
-    std::int64_t expected = *found ? (*found)->revision : 0;
-    if (*found && (*found)->value == value)
-        co_return expected;
-    auto swapped = co_await this->parts.store->swap(key, expected, value, 0);
+    auto swapped = co_await this->parts.store->swap(groupPrefix + service, expected, value, 0);
     if (swapped)
         co_return swapped->swapped ? swapped->revision : 0;
     // The answer is lost, or the store refused: the key tells.
-    auto after = co_await this->parts.store->read(key);
-    if (after && *after && (*after)->value == value)
+    auto after = co_await this->readRecord(service);
+    if (after && *after && (*after)->value == value && (*after)->revision > expected)
         co_return (*after)->revision;
     co_return 0;
 }
@@ -401,21 +404,60 @@
     }
 }
 
-asio::awaitable<bool> Promoter::carryOut(std::string service, bool planned, Duty& duty)
+// Fences the members until one can be promoted without loss; nothing if that can't be shown while the duty lasts.
+// `term` becomes the highest term seen.
+asio::awaitable<std::optional<std::string>> Promoter::chooseNext(
+    Decision decision, GroupRecord old, std::uint64_t& term, Duty& duty)
+{
+    TimePoint end = Clock::now() + longestReplacement;
+    std::optional<std::string> chosen;
+    unsigned rounds = 0;
+    while (!chosen && Clock::now() < end && !this->stopped) {
+        auto view = this->parts.view->read();
+        bool pauseAll = !decision.planned || ++rounds > roundsBeforePause;
+        auto standings = co_await this->fence(view->membersOf(decision.service), old, pauseAll);
+        chosen = choosePromotion(standings, this->acknowledged[decision.service]);
+        std::string seen;
+        for (const MemberStanding& standing : standings) {
+            term = std::max(term, standing.report.term);
+            seen += fmt::format("{}{}:{}.{} ", standing.id, standing.fenced ? "" : "(not fenced)",
+                standing.report.received.term, standing.report.received.lsn);
+        }
+        writeLog(LogLevel::Info, "members_fenced",
+            { { "service", decision.service }, { "members", seen }, { "chosen", chosen.value_or("") } });
+        co_await this->renewDuty(duty);
+        if (Clock::now() >= duty.validUntil)
+            co_return std::nullopt;
+        if (!chosen)
+            co_await this->pause(stepPause);
+    }
+    co_return chosen;
+}
+
+asio::awaitable<bool> Promoter::carryOut(Decision decision, Duty& duty)
 {
     auto self = this->shared_from_this();
     TimePoint start = Clock::now();
+    std::string service = decision.service;
+    // Whoever had the duty before may have done the work, which this instance's view need not show yet.
+    auto stored = co_await this->readRecord(service);
+    if (!stored)
+        co_return false;
+    std::optional<GroupRecord> current;
+    std::int64_t expected = 0;
+    if (*stored) {
+        current = parseGroupRecord((*stored)->value);
+        expected = (*stored)->revision;
+    }
+    if (current != decision.record) {
+        writeLog(LogLevel::Info, "decision_overtaken", { { "service", service } });
+        co_return false;
+    }
+    GroupRecord old = current.value_or(GroupRecord { GroupRecord::State::Serving, decision.primary, 0 });
     auto view = this->parts.view->read();
-    GroupRecord old;
-    auto record = view->groups.find(service);
-    if (record != view->groups.end())
-        old = record->second;
-    else if (auto primary = view->primaryOf(service))
-        old.primary = primary->id;
-    bool resumed = old.state == GroupRecord::State::Replacing;
     auto listed = view->targets.find(old.primary);
-    MemberSight sight = this->sights[old.primary];
-    bool silent = !planned && !resumed && !sight.health.lostWrites;
+    bool resumed = old.state == GroupRecord::State::Replacing;
+    bool silent = !decision.planned && !resumed && !this->sights[old.primary].health.lostWrites;
     if (silent && listed != view->targets.end()) {
         // Connections may have gone silent while the member is well.
         bool answers = co_await this->primaryAnswers(listed->second);
@@ -426,51 +468,31 @@
     }
     GroupRecord replacing = old;
     replacing.state = GroupRecord::State::Replacing;
-    std::int64_t revision = co_await this->writeRecord(service, replacing);
+    std::int64_t revision = resumed ? expected : co_await this->writeRecord(service, expected, replacing);
     TimePoint writtenAt = Clock::now();
     if (!revision)
         co_return false;
-    std::optional<std::string> chosen;
     std::uint64_t oldTerm = old.term;
-    unsigned rounds = 0;
-    while (!chosen && Clock::now() - start < longestReplacement && !this->stopped) {
-        auto current = this->parts.view->read();
-        bool pauseAll = !planned || ++rounds > 3;
-        auto standings = co_await this->fence(current->membersOf(service), old, pauseAll);
-        chosen = choosePromotion(standings, this->acknowledged[service]);
-        std::string seen;
-        for (const MemberStanding& standing : standings) {
-            oldTerm = std::max(oldTerm, standing.report.term);
-            seen += fmt::format("{}{}:{}.{} ", standing.id, standing.fenced ? "" : "(not fenced)",
-                standing.report.received.term, standing.report.received.lsn);
-        }
-        writeLog(LogLevel::Info, "members_fenced",
-            { { "service", service }, { "members", seen }, { "chosen", chosen.value_or("") } });
-        co_await this->renewDuty(duty);
-        if (Clock::now() >= duty.validUntil)
-            co_return false;
-        if (!chosen)
-            co_await this->pause(stepPause);
-    }
-    auto current = this->parts.view->read();
-    bool promoted = false;
-    if (chosen)
-        promoted = co_await this->promote(service, *chosen, duty);
-    auto target = chosen ? current->targets.find(*chosen) : current->targets.end();
-    if (!promoted || target == current->targets.end())
+    auto chosen = co_await this->chooseNext(decision, old, oldTerm, duty);
+    auto latest = this->parts.view->read();
+    auto target = chosen ? latest->targets.find(*chosen) : latest->targets.end();
+    if (target == latest->targets.end())
         co_return false;
     TargetRecord lead = target->second;
+    bool promoted = co_await this->promote(service, lead.id, duty);
+    if (!promoted)
+        co_return false;
     std::uint64_t term = co_await this->awaitLead(lead, oldTerm, duty);
     if (!term)
         co_return false;
     co_await this->awaitViews(revision, writtenAt, duty);
     if (Clock::now() >= duty.validUntil)
         co_return false;
-    GroupRecord serving { GroupRecord::State::Serving, *chosen, term };
-    std::int64_t written = co_await this->writeRecord(service, serving);
+    GroupRecord serving { GroupRecord::State::Serving, lead.id, term };
+    std::int64_t written = co_await this->writeRecord(service, revision, serving);
     this->promotionCount += written != 0;
     writeLog(LogLevel::Info, "primary_serves",
-        { { "service", service }, { "member", *chosen }, { "term", text(static_cast<std::int64_t>(term)) },
+        { { "service", service }, { "member", lead.id }, { "term", text(static_cast<std::int64_t>(term)) },
             { "took_ms", text(std::chrono::duration_cast<Milliseconds>(Clock::now() - start).count()) } });
     co_return written != 0;
 }
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -82,11 +82,21 @@
     void askOthers(const std::string& service, const std::string& primary, bool asks);
     void answerNote(const std::string& sender, const std::string& service, const std::string& primary);
 
-    boost::asio::awaitable<void> replace(std::string service, bool planned);
-    boost::asio::awaitable<bool> carryOut(std::string service, bool planned, Duty& duty);
+    /// What a decision was based on.
+    struct Decision {
+        std::string service;
+        bool planned = false;
+        /// The record then; nothing if there was none.
+        std::optional<GroupRecord> record;
+        std::string primary;
+    };
+    boost::asio::awaitable<void> replace(Decision);
+    boost::asio::awaitable<bool> carryOut(Decision, Duty&);
+    boost::asio::awaitable<std::optional<std::string>> chooseNext(Decision, GroupRecord old, std::uint64_t& term, Duty&);
     boost::asio::awaitable<bool> takeDuty(Duty&);
     boost::asio::awaitable<void> renewDuty(Duty&);
-    boost::asio::awaitable<std::int64_t> writeRecord(std::string service, GroupRecord);
+    boost::asio::awaitable<PlatformResult<std::optional<KeyValue>>> readRecord(std::string service);
+    boost::asio::awaitable<std::int64_t> writeRecord(std::string service, std::int64_t expected, GroupRecord);
     boost::asio::awaitable<bool> primaryAnswers(TargetRecord);
     boost::asio::awaitable<std::vector<MemberStanding>> fence(std::vector<TargetRecord>, GroupRecord old, bool pauseAll);
     boost::asio::awaitable<std::optional<MemberReport>> order(TargetRecord, TargetCommand);
--- a/src/libsession/promotion_choice.cpp
+++ b/src/libsession/promotion_choice.cpp
@@ -20,6 +20,9 @@
     const MemberStanding* best = nullptr;
     bool othersFenced = true;
     for (const MemberStanding& member : members) {
+        // Somebody leads and goes on: whatever is known of the others may change at any moment.
+        if (member.report.primary && !member.fenced)
+            return std::nullopt;
         if (member.wasPrimary)
             old = &member;
         else
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -15,7 +15,7 @@
     bool draining = false;
     /// It has answered that it takes nothing more from the old primary, or that it has stepped down.
     bool fenced = false;
-    /// Its answer; meaningful if it is fenced.
+    /// Its last answer; all zero if it gave none.
     MemberReport report;
 
     auto operator<=>(const MemberStanding&) const = default;
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -211,7 +211,10 @@
     if (!this->seen.failures++)
         this->seen.failingSince = now;
     this->seen.lastFailure = now;
-    if (lostWrite && !this->seen.lostWrites++)
+    if (!lostWrite)
+        return;
+    this->seen.lastLostWrite = now;
+    if (!this->seen.lostWrites++)
         this->seen.losingWritesSince = now;
 }
 
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -29,6 +29,7 @@
     /// Since when commits and writes have gone unanswered without a success between; the same for `lostWrites`.
     TimePoint losingWritesSince;
     unsigned lostWrites = 0;
+    TimePoint lastLostWrite;
 };
 
 /// The connections of this instance to one member: a few, each for one workspace, lent for a statement or a
