Keep a window of statements per member that halves when it refuses; rather wait than open; step down whoever leads

Cause: overload fed itself: each refusal led to more tries and more openings (12 ms of a slot each), and a returned connection was closed for another workspace's statement. Change: statements wait here, by priority, once the window is full; resting transactions take no room; no repeat of a write at a primary without room; loans last 1.5 s and are asked for every 60 ms.

--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -21,14 +21,14 @@
     constexpr Milliseconds waitStep { 5 };
     // Requests of one workspace that may wait here at once.
     constexpr std::uint32_t mostWaiting = 256;
-    constexpr Milliseconds loanDuration { 700 };
+    constexpr Milliseconds loanDuration { 1500 };
     // A loan that ends within this time is already replaced.
     constexpr Milliseconds renewAhead { 150 };
     // Least time between two requests to the same lender, and after one that had nothing to spare.
-    constexpr Milliseconds askInterval { 20 };
-    constexpr Milliseconds askAgainAfterNothing { 60 };
+    constexpr Milliseconds askInterval { 60 };
+    constexpr Milliseconds askAgainAfterNothing { 200 };
     // Lenders that are asked at once.
-    constexpr std::size_t mostAsked = 4;
+    constexpr std::size_t mostAsked = 3;
     // Requests a second below which a workspace counts as idle here.
     constexpr double idleDemand = 0.01;
     constexpr double demandTimeConstantSeconds = 0.3;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -39,6 +39,7 @@
     constexpr double idleSessionsPart = 0.25;
     constexpr double transactionsPart = 0.5;
     constexpr double lastPart = 0.85;
+    constexpr Milliseconds trafficInterval { 10000 };
     constexpr Milliseconds drainStep { 50 };
 
 } // namespace
@@ -54,6 +55,7 @@
     bool isReady() const;
     Page readyPage(const std::string& path) const;
     Page metricsPage() const;
+    void reportTraffic(TimePoint now);
     asio::awaitable<void> keepHouse();
     asio::awaitable<void> keepRequestHouse();
     asio::awaitable<void> awaitLeave();
@@ -81,6 +83,7 @@
     std::shared_ptr<PageServer> readyServer;
     std::shared_ptr<PageServer> metricsServer;
     std::int64_t tablesInForce = 0;
+    TimePoint trafficReportedAt = Clock::now();
     std::thread requestThread;
 };
 
@@ -256,6 +259,23 @@
     return { 200, renderMetrics(metrics, *this->level) };
 }
 
+// One line in a while about what the instances say to each other and to the store.
+void FrontInstance::Parts::reportTraffic(TimePoint now)
+{
+    if (now - this->trafficReportedAt < trafficInterval)
+        return;
+    this->trafficReportedAt = now;
+    std::string kinds;
+    for (std::size_t kind = 0; kind < PeerLink::kindCount; ++kind) {
+        if (std::uint64_t bytes = this->link->bytesSentOfKind(kind))
+            kinds += fmt::format("{}:{} ", PeerLink::kindName(kind), bytes);
+    }
+    writeLog(LogLevel::Info, "traffic",
+        { { "peer_bytes", kinds }, { "store_calls", fmt::format("{}", this->platform.store->calls()) },
+            { "log_lines_dropped", fmt::format("{}", logLinesDropped()) },
+            { "sessions", fmt::format("{}", this->sessions->sessions.load()) } });
+}
+
 asio::awaitable<void> FrontInstance::Parts::keepHouse()
 {
     asio::steady_timer timer(this->control);
@@ -265,6 +285,7 @@
         if (this->builder.isUnsettled())
             this->publishView();
         this->level->sample(Clock::now());
+        this->reportTraffic(Clock::now());
         if (this->lifecycle.state() == InstanceLifecycle::State::Serving)
             this->promoter->look(Clock::now());
     }
--- /dev/null
+++ b/src/libsession/primary_watch_test.cpp
@@ -0,0 +1,70 @@
+#include "libsession/primary_watch.h"
+#include <gtest/gtest.h>
+
+using namespace catkinlock;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+PrimaryEvidence silentSince(TimePoint since, TimePoint lastFailure)
+{
+    PrimaryEvidence evidence;
+    evidence.known = true;
+    evidence.health.failures = 3;
+    evidence.health.failingSince = since;
+    evidence.health.lastFailure = lastFailure;
+    return evidence;
+}
+
+} // namespace
+
+TEST(PrimaryWatch, SuspectsASilentPrimaryAndThenReplacesIt)
+{
+    DetectionTimes times;
+    auto evidence = silentSince(start, start + Milliseconds(1000));
+    EXPECT_EQ(judgePrimary(evidence, times, {}, start + Milliseconds(500)), PrimaryVerdict::Fine);
+    EXPECT_EQ(judgePrimary(evidence, times, {}, start + Milliseconds(800)), PrimaryVerdict::Suspect);
+    EXPECT_EQ(judgePrimary(evidence, times, {}, start + Milliseconds(1200)), PrimaryVerdict::Replace);
+}
+
+TEST(PrimaryWatch, LeavesAPrimaryThatMostOthersReach)
+{
+    auto evidence = silentSince(start, start + Milliseconds(1900));
+    evidence.othersReaching = 4;
+    evidence.othersSuspecting = 2;
+    EXPECT_EQ(judgePrimary(evidence, {}, {}, start + Milliseconds(2000)), PrimaryVerdict::Suspect);
+}
+
+TEST(PrimaryWatch, ForgetsFailuresThatAreOver)
+{
+    auto evidence = silentSince(start, start + Milliseconds(1000));
+    EXPECT_EQ(judgePrimary(evidence, {}, {}, start + Milliseconds(9000)), PrimaryVerdict::Fine);
+}
+
+TEST(PrimaryWatch, ReplacesAPrimaryThatAnswersReadsAndNoWrites)
+{
+    PrimaryEvidence evidence;
+    evidence.known = true;
+    evidence.health.lastSuccess = start + Milliseconds(1500);
+    evidence.health.losingWritesSince = start;
+    evidence.health.lastLostWrite = start + Milliseconds(1500);
+    evidence.health.lostWrites = 3;
+    EXPECT_EQ(judgePrimary(evidence, {}, {}, start + Milliseconds(1500)), PrimaryVerdict::Replace);
+    evidence.health.lostWrites = 2;
+    EXPECT_EQ(judgePrimary(evidence, {}, {}, start + Milliseconds(1500)), PrimaryVerdict::Fine);
+}
+
+TEST(PrimaryWatch, HandsOverFromALeavingPrimary)
+{
+    PrimaryEvidence evidence;
+    evidence.known = true;
+    evidence.draining = true;
+    EXPECT_EQ(judgePrimary(evidence, {}, {}, start), PrimaryVerdict::HandOver);
+}
+
+TEST(PrimaryWatch, MakesAPrimaryWhereNoneHasBeenKnownForLong)
+{
+    EXPECT_EQ(judgePrimary({}, {}, Milliseconds(1000), start), PrimaryVerdict::Fine);
+    EXPECT_EQ(judgePrimary({}, {}, Milliseconds(2600), start), PrimaryVerdict::Replace);
+}
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -321,7 +321,10 @@
         shared->left = members.size();
         std::uint64_t term = shared->highestTerm + 1;
         for (std::size_t i = 0; i < members.size(); ++i) {
-            bool wasPrimary = shared->standings[i].wasPrimary;
+            // A primary that came back under another id leads although the record names the earlier one.
+            MemberStanding& standing = shared->standings[i];
+            standing.wasPrimary = standing.wasPrimary || standing.report.primary;
+            bool wasPrimary = standing.wasPrimary;
             TargetCommand command;
             command.kind = TargetCommand::Kind::Status;
             command.term = term;
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -10,7 +10,7 @@
 /// One member while a primary is being replaced.
 struct MemberStanding {
     std::string id;
-    /// It was the primary.
+    /// It was the primary, or said that it leads.
     bool wasPrimary = false;
     bool draining = false;
     /// It has answered that it takes nothing more from the old primary, or that it has stepped down.
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -80,8 +80,19 @@
     return this->refuse(error, std::move(text));
 }
 
+// Between its statements a transaction holds a connection and takes no room at the member.
+void SessionRunner::setResting(bool rests)
+{
+    if (this->transaction.rests == rests)
+        return;
+    this->transaction.rests = rests;
+    this->transaction.pool->noteResting(rests);
+}
+
 void SessionRunner::abandon()
 {
+    if (this->transaction.pool)
+        this->setResting(false);
     if (this->transaction.link)
         giveBackClean(this->context->executor, this->transaction.pool, this->transaction.link);
     this->transaction.link = nullptr;
@@ -250,6 +261,8 @@
     bool notRun = result.reply.error && isNotRun(*result.reply.error);
     result.fate = notRun ? Try::Fate::NotRun : Try::Fate::Answered;
     bool done = !result.reply.error;
+    if (result.reply.error == StatementError::Busy)
+        pool->noteBusy();
     if (result.reply.error == StatementError::Lagging) {
         pool->noteLagging(placement.after.value_or(Position {}), result.reply.position, now);
         co_return result;
@@ -343,10 +356,9 @@
             co_return result.reply;
         last = result.reply;
         last.state = TransactionState::Idle;
-        if (last.error != StatementError::Busy)
+        // A connection that broke before anything was sent is worth another try; a primary without room is not.
+        if (last.error != StatementError::Misrouted)
             co_return last;
-        asio::steady_timer pause(this->context->executor, busyPause);
-        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     co_return last;
 }
@@ -427,6 +439,7 @@
         if (!bound)
             co_return this->failTransaction(StatementError::Aborted, failure.errorText);
     }
+    this->setResting(false);
     this->member = this->transaction.pool->target().id;
     bool wrote = this->writes(statement);
     for (unsigned i = 0; i < mostBusyTries; ++i) {
@@ -436,6 +449,7 @@
             = co_await this->exchange(this->transaction.link, bound, statement, call, timeLeft(call.deadline));
         if (!result.reply.error && result.fate == Try::Fate::Answered) {
             this->transaction.wrote = this->transaction.wrote || wrote;
+            this->setResting(true);
             result.reply.state = TransactionState::Open;
             co_return result.reply;
         }
@@ -462,6 +476,7 @@
             co_return this->refuse(StatementError::Aborted, failure.errorText);
         }
     }
+    this->setResting(false);
     this->member = this->transaction.pool->target().id;
     ++this->tries;
     std::string service = this->transaction.service;
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -60,12 +60,15 @@
         TransactionState state = TransactionState::Idle;
         bool readOnly = false;
         bool wrote = false;
+        // No statement of it is under way.
+        bool rests = false;
         std::string service;
         std::shared_ptr<TargetPool> pool;
         // The connection that it is bound to; null until its first statement.
         std::shared_ptr<TargetLink> link;
     };
 
+    void setResting(bool rests);
     TargetReply answerLocally(const SessionStatement&);
     TargetReply refuse(StatementError, std::string text) const;
     TargetReply failTransaction(StatementError, std::string text);
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -12,6 +12,10 @@
 namespace {
 
     constexpr Milliseconds openTimeout { 700 };
+    // Statements that may wait for each connection of their workspace before another one is opened.
+    constexpr std::size_t waitersPerConnection = 2;
+    // A statement waits no longer than this for one that is in use.
+    constexpr Milliseconds openAnywayAfter { 40 };
     constexpr Milliseconds idleLifetime { 30000 };
     // Several times its share is what a busy instance may hold while others are idle.
     constexpr std::size_t mostShares = 3;
@@ -66,6 +70,7 @@
             continue;
         auto link = it->link;
         this->idle.erase(std::next(it).base());
+        ++this->lent[workspace];
         return link;
     }
     return nullptr;
@@ -89,9 +94,26 @@
     return waiter;
 }
 
+// An opening takes a slot of the member for as long as a short statement, so a statement rather waits for a connection
+// of its workspace that comes back soon.
+bool TargetPool::shouldOpen(const std::string& workspace) const
+{
+    auto found = this->lent.find(workspace);
+    std::size_t coming = found == this->lent.end() ? 0 : found->second;
+    // The statement itself may be among those that wait.
+    auto ahead = static_cast<std::size_t>(std::count_if(this->waiters.begin(), this->waiters.end(),
+        [&workspace](const auto& waiter) { return waiter->workspace == workspace; }));
+    return ahead >= coming * waitersPerConnection;
+}
+
 void TargetPool::startOpening(const std::string& workspace)
 {
+    if (this->opened >= this->limit() && !this->idle.empty())
+        this->dropOldestIdle();
+    if (this->opened >= this->limit())
+        return;
     ++this->opened;
+    ++this->lent[workspace];
     spawn(this->executor, [self = this->shared_from_this(), workspace] { return self->openFor(workspace); });
 }
 
@@ -103,6 +125,7 @@
     auto link = std::make_shared<TargetLink>(this->executor, this->protocol);
     TargetRecord target = this->record;
     auto opening = co_await link->open(target, workspace, openTimeout);
+    this->noteReturned(workspace);
     if (opening) {
         this->handOver(link);
         co_return;
@@ -123,18 +146,26 @@
     std::string workspace, std::uint32_t priority, TimePoint deadline)
 {
     auto self = this->shared_from_this();
-    if (auto link = this->takeIdle(workspace))
-        co_return link;
-    if (this->opened >= this->limit() && !this->idle.empty())
-        this->dropOldestIdle();
-    if (this->opened < this->limit())
-        this->startOpening(workspace);
+    if (this->hasRoom()) {
+        if (auto link = this->takeIdle(workspace))
+            co_return link;
+        if (this->shouldOpen(workspace))
+            this->startOpening(workspace);
+    }
     auto waiter = std::make_shared<Waiter>(this->executor, workspace, priority);
     auto place = std::find_if(this->waiters.begin(), this->waiters.end(),
         [priority](const auto& other) { return other->priority > priority; });
     this->waiters.insert(place, waiter);
-    waiter->timer.expires_after(deadline - Clock::now());
-    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    Duration patience = std::min<Duration>(deadline - Clock::now(), openAnywayAfter);
+    waiter->timer.expires_after(patience);
+    auto [cancelled] = co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!cancelled && Clock::now() < deadline) {
+        // What was in use may be bound to a transaction that rests.
+        if (this->hasRoom())
+            this->startOpening(workspace);
+        waiter->timer.expires_after(deadline - Clock::now());
+        co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     if (waiter->given)
         co_return waiter->given;
     this->waiters.remove(waiter);
@@ -145,38 +176,70 @@
 void TargetPool::releasePlace()
 {
     --this->opened;
-    if (!this->waiters.empty() && this->opened < this->limit())
-        this->startOpening(this->waiters.front()->workspace);
+    this->serveNext();
+}
+
+bool TargetPool::hasRoom() const { return this->inUse() < this->window.size() + this->resting; }
+
+void TargetPool::noteResting(bool rests)
+{
+    this->resting += rests ? 1 : -1;
+    if (rests)
+        this->serveNext();
+}
+
+// Gives the statement that waits first what it waits for, if the member has room.
+void TargetPool::serveNext()
+{
+    if (this->waiters.empty() || !this->hasRoom())
+        return;
+    std::string workspace = this->waiters.front()->workspace;
+    auto link = this->takeIdle(workspace);
+    if (!link) {
+        if (this->shouldOpen(workspace))
+            this->startOpening(workspace);
+        return;
+    }
+    auto waiter = this->takeWaiter(workspace);
+    waiter->given = std::move(link);
+    waiter->timer.cancel();
 }
 
 void TargetPool::giveBack(std::shared_ptr<TargetLink> link)
 {
+    this->noteReturned(link->workspace());
     if (link->isOpen() && link->state() == TransactionState::Idle && this->opened <= this->limit())
         return this->handOver(std::move(link));
     link->close();
     this->releasePlace();
 }
 
+void TargetPool::noteReturned(const std::string& workspace)
+{
+    auto found = this->lent.find(workspace);
+    if (found != this->lent.end() && !--found->second)
+        this->lent.erase(found);
+}
+
 void TargetPool::handOver(std::shared_ptr<TargetLink> link)
 {
-    if (auto waiter = this->takeWaiter(link->workspace())) {
-        waiter->given = std::move(link);
-        waiter->timer.cancel();
-        return;
-    }
-    if (this->waiters.empty()) {
-        this->idle.push_back({ std::move(link), Clock::now() });
-        while (this->opened > this->share && !this->idle.empty())
-            this->dropOldestIdle();
-        return;
+    if (this->hasRoom()) {
+        if (auto waiter = this->takeWaiter(link->workspace())) {
+            ++this->lent[link->workspace()];
+            waiter->given = std::move(link);
+            waiter->timer.cancel();
+            return;
+        }
     }
-    // Statements of other workspaces wait, and can't use this connection.
-    link->close();
-    this->releasePlace();
+    this->idle.push_back({ std::move(link), Clock::now() });
+    while (this->opened > this->share && !this->idle.empty())
+        this->dropOldestIdle();
+    this->serveNext();
 }
 
 void TargetPool::noteAnswer(Duration took, bool wrote, const Position& at, TimePoint now)
 {
+    this->window.noteAnswered(this->inUse() - this->resting);
     this->seen.lastSuccess = now;
     this->seen.failures = 0;
     if (wrote)
@@ -239,7 +302,7 @@
     load.typicalTime = Milliseconds(static_cast<std::int64_t>(this->typicalMs));
     load.hasConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const Idle& item) { return item.link->workspace() == workspace; });
-    load.isFull = !load.hasConnection && this->inUse() >= this->limit();
+    load.isFull = !this->hasRoom() || (!load.hasConnection && this->inUse() >= this->limit());
     load.isSuspect
         = this->seen.failures >= failuresUntilSuspect && now - this->seen.lastFailure < suspectFor;
     return load;
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -4,11 +4,13 @@
 #include "catkinlock/target_message.h"
 #include "catkinlock/target_record.h"
 #include "libsession/member_choice.h"
+#include "libsession/send_window.h"
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <deque>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -47,6 +49,10 @@
 
     /// A statement that was sent `took` ago was answered; `wrote` if it was a write or a commit of writes.
     void noteAnswer(Duration took, bool wrote, const Position&, TimePoint now);
+    /// The member refused a statement for want of room.
+    void noteBusy() { this->window.noteRefused(); }
+    /// A transaction holds a connection without a statement in it, or no longer does.
+    void noteResting(bool rests);
     void noteFailure(bool lostWrite, TimePoint now);
     /// The member lacked the position `floor` that a read needed.
     void noteLagging(const Position& floor, const Position& had, TimePoint now);
@@ -76,7 +82,11 @@
     struct Waiter;
 
     boost::asio::awaitable<void> openFor(std::string workspace);
+    bool hasRoom() const;
+    void serveNext();
+    bool shouldOpen(const std::string& workspace) const;
     void startOpening(const std::string& workspace);
+    void noteReturned(const std::string& workspace);
     std::size_t limit() const;
     void handOver(std::shared_ptr<TargetLink>);
     std::shared_ptr<Waiter> takeWaiter(const std::string& workspace);
@@ -95,9 +105,14 @@
     // The longest idle first.
     std::deque<Idle> idle;
     std::list<std::shared_ptr<Waiter>> waiters;
+    // Connections in use or being opened, by workspace.
+    std::map<std::string, std::size_t> lent;
     MemberHealth seen;
     Position position;
     double typicalMs = 20;
+    SendWindow window;
+    // Connections that rest in an open transaction.
+    std::size_t resting = 0;
     Position behindFloor;
     TimePoint behindUntil;
     Milliseconds behindPause { 0 };
--- /dev/null
+++ b/src/libsession/view_builder_test.cpp
@@ -0,0 +1,96 @@
+#include "libsession/view_builder.h"
+#include <gtest/gtest.h>
+
+using namespace catkinlock;
+
+namespace {
+
+const TimePoint start { std::chrono::hours(1) };
+
+// Documents in a form of the test's own: "VERSION" and "SERVICE primary|replica draining|ready".
+class PlainDocuments : public DocumentSource {
+public:
+    std::string tablesKey() const override { return "tables"; }
+    std::string targetPrefix() const override { return "members/"; }
+    tl::expected<Tables, Error> parseTables(const std::string& text) const override
+    {
+        if (text.empty())
+            return tl::unexpected(Error { "empty" });
+        Tables tables;
+        tables.revision = std::stoll(text);
+        return tables;
+    }
+    tl::expected<TargetRecord, Error> parseTarget(const std::string& id, const std::string& text) const override
+    {
+        if (text.empty())
+            return tl::unexpected(Error { "empty" });
+        return TargetRecord { id, "s", "127.0.0.1:1", "", 1, text.ends_with("draining"), text.starts_with("primary"),
+            0 };
+    }
+};
+
+std::map<std::string, KeyValue> copyOf(std::vector<KeyValue> values)
+{
+    std::map<std::string, KeyValue> copy;
+    for (KeyValue& value : values)
+        copy[value.key] = value;
+    return copy;
+}
+
+ViewBuilder makeBuilder() { return ViewBuilder(std::make_shared<PlainDocuments>()); }
+
+} // namespace
+
+TEST(ViewBuilder, NeverGoesBackToAnOlderConfiguration)
+{
+    ViewBuilder builder = makeBuilder();
+    EXPECT_EQ(builder.build(copyOf({ { "tables", "7", 10 } }), 10, start).tables->revision, 7);
+    EXPECT_EQ(builder.build(copyOf({ { "tables", "5", 11 } }), 11, start).tables->revision, 7);
+    EXPECT_EQ(builder.build({}, 12, start).tables->revision, 7);
+}
+
+TEST(ViewBuilder, KeepsTheLastConfigurationWhenTheNextCannotBeRead)
+{
+    ViewBuilder builder = makeBuilder();
+    builder.build(copyOf({ { "tables", "7", 10 } }), 10, start);
+    EXPECT_EQ(builder.build(copyOf({ { "tables", "", 11 } }), 11, start).tables->revision, 7);
+    EXPECT_EQ(builder.takeFaults().size(), 1u);
+}
+
+TEST(ViewBuilder, KeepsAVanishedMemberForAMomentUnlessItWasLeaving)
+{
+    ViewBuilder builder = makeBuilder();
+    builder.build(copyOf({ { "members/a", "primary ready", 1 }, { "members/b", "replica draining", 2 } }), 2, start);
+    FleetView soon = builder.build({}, 3, start + Milliseconds(100));
+    EXPECT_EQ(soon.targets.size(), 1u);
+    EXPECT_TRUE(soon.targets.count("a"));
+    EXPECT_TRUE(builder.isUnsettled());
+    EXPECT_TRUE(builder.build({}, 3, start + Milliseconds(3000)).targets.empty());
+    EXPECT_FALSE(builder.isUnsettled());
+}
+
+TEST(FleetView, UsesTheRecordBeforeTheMembersOwnWord)
+{
+    ViewBuilder builder = makeBuilder();
+    std::vector<KeyValue> values { { "members/a", "primary ready", 1 }, { "members/b", "replica ready", 2 } };
+    EXPECT_EQ(builder.build(copyOf(values), 2, start).primaryOf("s")->id, "a");
+    values.push_back({ "catkinlock/group/s",
+        writeGroupRecord({ GroupRecord::State::Serving, "b", 2 }), 3 });
+    EXPECT_EQ(builder.build(copyOf(values), 3, start).primaryOf("s")->id, "b");
+    values.back() = { "catkinlock/group/s", writeGroupRecord({ GroupRecord::State::Replacing, "b", 2 }), 4 };
+    EXPECT_EQ(builder.build(copyOf(values), 4, start).primaryOf("s"), std::nullopt);
+}
+
+TEST(FleetView, TakesNoPrimaryWhereTwoClaimToBe)
+{
+    ViewBuilder builder = makeBuilder();
+    auto values = copyOf({ { "members/a", "primary ready", 1 }, { "members/b", "primary ready", 2 } });
+    EXPECT_EQ(builder.build(values, 2, start).primaryOf("s"), std::nullopt);
+}
+
+TEST(GroupRecord, AnUnreadableOneLeavesNoPrimary)
+{
+    ViewBuilder builder = makeBuilder();
+    auto values = copyOf({ { "members/a", "primary ready", 1 }, { "catkinlock/group/s", "?", 2 } });
+    EXPECT_EQ(builder.build(values, 2, start).primaryOf("s"), std::nullopt);
+}
