--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES = g++ cmake make pkg-config clang-format clang-tidy libboost1.81-dev libboost-json1.81-dev libzmq3-dev \
   cppzmq-dev libprotobuf-dev protobuf-compiler prometheus-cpp-dev libtomlplusplus-dev libpopt-dev libfmt-dev \
   libexpected-dev liburcu-dev libpq-dev libssl-dev libxxhash-dev librapidcheck-dev libgtest-dev
-SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'testsuite/*.h' 'testsuite/*.cpp' | grep -v generated)
+SOURCES = $(shell git ls-files 'src/*.h' 'src/*.cpp' 'testsuite/*.h' 'testsuite/*.cpp' 'platform/*.h' 'platform/*.cpp' | grep -v generated)
 
 .PHONY: packages build demo test bench capacity matrix format check-format lint sanitize proto
 
--- a/src/catkinlock/front_command.cpp
+++ b/src/catkinlock/front_command.cpp
@@ -44,8 +44,8 @@
     }
     MakeSessionPlatform make = findAdapter(settings->adapter);
     if (!make) {
-        fmt::print(stderr, "{}: platform.adapter: {} is not a known adapter\n", options.settingsFile,
-            settings->adapter);
+        fmt::print(
+            stderr, "{}: platform.adapter: {} is not a known adapter\n", options.settingsFile, settings->adapter);
         return ExitInvalid;
     }
     setLogInstance(settings->name);
--- a/src/include/catkinlock/log.h
+++ b/src/include/catkinlock/log.h
@@ -17,8 +17,8 @@
 /// Sets the instance that every line names.
 void setLogInstance(const std::string& name);
 
-/// Writes one JSON line to standard output, and never blocks on it: time, level, instance, event and the given members. Callers pass no key and
-/// no parameter of a statement.
+/// Writes one JSON line to standard output, and never blocks on it: time, level, instance, event and the given members.
+/// Callers pass no key and no parameter of a statement.
 void writeLog(
     LogLevel, std::string_view event, std::initializer_list<std::pair<std::string_view, std::string>> members = {});
 
--- a/src/libcore/group_record.cpp
+++ b/src/libcore/group_record.cpp
@@ -9,8 +9,7 @@
 std::string writeGroupRecord(const GroupRecord& record)
 {
     const char* state = record.state == GroupRecord::State::Serving ? "serving" : "replacing";
-    return json::serialize(
-        json::object { { "state", state }, { "primary", record.primary }, { "term", record.term } });
+    return json::serialize(json::object { { "state", state }, { "primary", record.primary }, { "term", record.term } });
 }
 
 std::optional<GroupRecord> parseGroupRecord(const std::string& text)
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -38,8 +38,7 @@
 
 } // namespace
 
-SlotKeeper::SlotKeeper(
-    asio::io_context& context, std::shared_ptr<MetadataStore> platform, Options options, Hooks hooks)
+SlotKeeper::SlotKeeper(asio::io_context& context, std::shared_ptr<MetadataStore> platform, Options options, Hooks hooks)
     : context(context)
     , platform(std::move(platform))
     , options(std::move(options))
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -102,8 +102,8 @@
     this->sessions->view = this->view;
     this->sessions->freshness = this->freshness;
     this->sessions->level = this->level;
-    this->sessions->groups = std::make_shared<TargetGroups>(
-        executor, this->platform.targets, this->freshness, this->settings.dataCentre);
+    this->sessions->groups
+        = std::make_shared<TargetGroups>(executor, this->platform.targets, this->freshness, this->settings.dataCentre);
     this->front = std::make_shared<SessionFront>(this->requests, this->sessions);
     this->readyServer = std::make_shared<PageServer>(
         this->control, [this](const std::string& path) { return this->readyPage(path); });
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -73,8 +73,7 @@
     }
 }
 
-PrimaryEvidence Promoter::evidenceOf(
-    const std::string& service, const FleetView& view, Watch& watch, TimePoint now)
+PrimaryEvidence Promoter::evidenceOf(const std::string& service, const FleetView& view, Watch& watch, TimePoint now)
 {
     PrimaryEvidence evidence;
     auto primary = view.primaryOf(service);
@@ -122,8 +121,8 @@
     watch.busy = true;
     writeLog(LogLevel::Warning, "primary_to_be_replaced",
         { { "service", service }, { "primary", watch.primary }, { "known", evidence.known ? "true" : "false" },
-            { "draining", evidence.draining ? "true" : "false" },
-            { "failures", text(evidence.health.failures) }, { "lost_writes", text(evidence.health.lostWrites) },
+            { "draining", evidence.draining ? "true" : "false" }, { "failures", text(evidence.health.failures) },
+            { "lost_writes", text(evidence.health.lostWrites) },
             { "others_suspecting", text(static_cast<std::int64_t>(evidence.othersSuspecting)) },
             { "others_reaching", text(static_cast<std::int64_t>(evidence.othersReaching)) },
             { "view_revision", text(view.revision) } });
@@ -367,7 +366,7 @@
     writeLog(LogLevel::Info, "promotion_ordered",
         { { "service", service }, { "member", id }, { "fencing_token", text(duty.token) },
             { "outcome", accepted ? (*accepted ? "accepted" : "conflict") : accepted.error().message } });
-    co_return accepted && *accepted;
+    co_return accepted&&* accepted;
 }
 
 // The term that the member leads; 0 if it does not.
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -4,8 +4,8 @@
 #include "catkinlock/promotion_service.h"
 #include "catkinlock/rcu_snapshot.h"
 #include "libsession/fleet_view.h"
-#include "libsession/promotion_choice.h"
 #include "libsession/primary_watch.h"
+#include "libsession/promotion_choice.h"
 #include "libsession/target_groups.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -92,13 +92,15 @@
     };
     boost::asio::awaitable<void> replace(Decision);
     boost::asio::awaitable<bool> carryOut(Decision, Duty&);
-    boost::asio::awaitable<std::optional<std::string>> chooseNext(Decision, GroupRecord old, std::uint64_t& term, Duty&);
+    boost::asio::awaitable<std::optional<std::string>> chooseNext(
+        Decision, GroupRecord old, std::uint64_t& term, Duty&);
     boost::asio::awaitable<bool> takeDuty(Duty&);
     boost::asio::awaitable<void> renewDuty(Duty&);
     boost::asio::awaitable<PlatformResult<std::optional<KeyValue>>> readRecord(std::string service);
     boost::asio::awaitable<std::int64_t> writeRecord(std::string service, std::int64_t expected, GroupRecord);
     boost::asio::awaitable<bool> primaryAnswers(TargetRecord);
-    boost::asio::awaitable<std::vector<MemberStanding>> fence(std::vector<TargetRecord>, GroupRecord old, bool pauseAll);
+    boost::asio::awaitable<std::vector<MemberStanding>> fence(
+        std::vector<TargetRecord>, GroupRecord old, bool pauseAll);
     boost::asio::awaitable<std::optional<MemberReport>> order(TargetRecord, TargetCommand);
     boost::asio::awaitable<bool> promote(std::string service, std::string id, const Duty&);
     boost::asio::awaitable<std::uint64_t> awaitLead(TargetRecord, std::uint64_t oldTerm, Duty& duty);
--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -73,8 +73,8 @@
     auto acknowledged = *rc::gen::inRange<std::uint64_t>(0, 20);
     std::vector<MemberStanding> members;
     for (int i = 0; i < count; ++i) {
-        std::uint64_t lsn = i == 0 ? acknowledged + *rc::gen::inRange<std::uint64_t>(0, 5)
-                                   : *rc::gen::inRange<std::uint64_t>(0, 20);
+        std::uint64_t lsn
+            = i == 0 ? acknowledged + *rc::gen::inRange<std::uint64_t>(0, 5) : *rc::gen::inRange<std::uint64_t>(0, 20);
         members.push_back(standing(std::to_string(i), i == 0, *rc::gen::arbitrary<bool>(), lsn));
         members.back().draining = *rc::gen::arbitrary<bool>();
     }
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -204,8 +204,7 @@
     std::string digest = this->keyDigest;
     bool open = call.route.open;
     call.isAllowed = [context = this->context, digest, open] {
-        return open
-            || (context->freshness->isFresh(Clock::now()) && context->view->read()->tables->keys.count(digest));
+        return open || (context->freshness->isFresh(Clock::now()) && context->view->read()->tables->keys.count(digest));
     };
     this->context->groups->refresh(*view);
     return call;
@@ -253,8 +252,7 @@
         refusal.outcome = promisesNothingKept(*reply.error) ? Outcome::NotRun : Outcome::Unknown;
         refusal.code = statementErrorName(*reply.error);
     }
-    this->context->level->observe(
-        call.route.name, call.workspace, reply.error ? &refusal : nullptr, took);
+    this->context->level->observe(call.route.name, call.workspace, reply.error ? &refusal : nullptr, took);
     if (!reply.error)
         return;
     writeLog(LogLevel::Warning, "statement_failed",
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -32,9 +32,9 @@
     // What the member says before it has done anything.
     bool isNotRun(StatementError error)
     {
-        return error == StatementError::Busy || error == StatementError::NoStatement
-            || error == StatementError::Lagging || error == StatementError::ReadOnly
-            || error == StatementError::Misrouted || error == StatementError::ConnectionLimit;
+        return error == StatementError::Busy || error == StatementError::NoStatement || error == StatementError::Lagging
+            || error == StatementError::ReadOnly || error == StatementError::Misrouted
+            || error == StatementError::ConnectionLimit;
     }
 
     // Rolls back on the connection and gives it back.
@@ -445,8 +445,7 @@
     for (unsigned i = 0; i < mostBusyTries; ++i) {
         ++this->tries;
         Placement bound = this->transactionPlacement();
-        Try result
-            = co_await this->exchange(this->transaction.link, bound, statement, call, timeLeft(call.deadline));
+        Try result = co_await this->exchange(this->transaction.link, bound, statement, call, timeLeft(call.deadline));
         if (!result.reply.error && result.fate == Try::Fate::Answered) {
             this->transaction.wrote = this->transaction.wrote || wrote;
             this->setResting(true);
@@ -482,8 +481,8 @@
     std::string service = this->transaction.service;
     bool wrote = this->transaction.wrote;
     Placement bound = this->transactionPlacement();
-    Try result = co_await this->exchange(
-        this->transaction.link, bound, std::move(statement), call, timeLeft(call.deadline));
+    Try result
+        = co_await this->exchange(this->transaction.link, bound, std::move(statement), call, timeLeft(call.deadline));
     this->abandon();
     this->transaction.state = TransactionState::Idle;
     if (result.fate == Try::Fate::Lost) {
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -45,8 +45,8 @@
 /// the request thread.
 class TargetGroups {
 public:
-    TargetGroups(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>,
-        std::shared_ptr<ViewFreshness>, std::string dataCentre);
+    TargetGroups(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>, std::shared_ptr<ViewFreshness>,
+        std::string dataCentre);
 
     /// Takes in a new view; cheap if its revision is the last one's.
     void refresh(const FleetView&);
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -129,8 +129,8 @@
     co_return false;
 }
 
-asio::awaitable<bool> TargetLink::adopt(std::map<std::string, std::string> wanted, std::string preparedName,
-    std::string prepared, Milliseconds timeout)
+asio::awaitable<bool> TargetLink::adopt(
+    std::map<std::string, std::string> wanted, std::string preparedName, std::string prepared, Milliseconds timeout)
 {
     auto self = this->shared_from_this();
     bool foreign = false;
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "catkinlock/clock.h"
 #include "catkinlock/target_protocol.h"
 #include "catkinlock/target_record.h"
-#include "catkinlock/clock.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <map>
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -303,8 +303,7 @@
     load.hasConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const Idle& item) { return item.link->workspace() == workspace; });
     load.isFull = !this->hasRoom() || (!load.hasConnection && this->inUse() >= this->limit());
-    load.isSuspect
-        = this->seen.failures >= failuresUntilSuspect && now - this->seen.lastFailure < suspectFor;
+    load.isSuspect = this->seen.failures >= failuresUntilSuspect && now - this->seen.lastFailure < suspectFor;
     return load;
 }
 
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -74,8 +74,7 @@
     ViewBuilder builder = makeBuilder();
     std::vector<KeyValue> values { { "members/a", "primary ready", 1 }, { "members/b", "replica ready", 2 } };
     EXPECT_EQ(builder.build(copyOf(values), 2, start).primaryOf("s")->id, "a");
-    values.push_back({ "catkinlock/group/s",
-        writeGroupRecord({ GroupRecord::State::Serving, "b", 2 }), 3 });
+    values.push_back({ "catkinlock/group/s", writeGroupRecord({ GroupRecord::State::Serving, "b", 2 }), 3 });
     EXPECT_EQ(builder.build(copyOf(values), 3, start).primaryOf("s")->id, "b");
     values.back() = { "catkinlock/group/s", writeGroupRecord({ GroupRecord::State::Replacing, "b", 2 }), 4 };
     EXPECT_EQ(builder.build(copyOf(values), 4, start).primaryOf("s"), std::nullopt);
--- /dev/null
+++ b/src/standin/kv_service.cpp
@@ -0,0 +1,224 @@
+#include "standin/kv_service.h"
+
+#include "catkinlock/address.h"
+#include "catkinlock/digest.h"
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+namespace catkinlock::standin {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::chrono::milliseconds watchStep { 5 };
+
+    std::map<std::string, std::string> queryOf(const std::string& target)
+    {
+        std::map<std::string, std::string> query;
+        std::size_t start = target.find('?');
+        while (start != std::string::npos) {
+            std::size_t end = target.find('&', start + 1);
+            std::string pair = target.substr(start + 1, end == std::string::npos ? end : end - start - 1);
+            std::size_t equals = pair.find('=');
+            if (equals != std::string::npos)
+                query[pair.substr(0, equals)] = pair.substr(equals + 1);
+            start = end;
+        }
+        return query;
+    }
+
+    std::int64_t trailingNumber(const std::string& path)
+    {
+        return std::strtoll(path.c_str() + path.rfind('/') + 1, nullptr, 10);
+    }
+
+} // namespace
+
+KvService::KvService(asio::io_context& context, std::function<void(const std::string&)> promote)
+    : context(context)
+    , promote(std::move(promote))
+    , acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+}
+
+std::string KvService::start()
+{
+    asio::co_spawn(
+        this->context, [self = this->shared_from_this()] { return self->accept(); }, asio::detached);
+    return formatAddress(this->acceptor.local_endpoint());
+}
+
+void KvService::record(const std::string& key, const std::string& value, bool deleted)
+{
+    ++this->revision;
+    this->changes.push_back({ key, value, this->revision, deleted });
+}
+
+void KvService::put(const std::string& key, const std::string& value)
+{
+    this->record(key, value, false);
+    this->items[key] = { value, this->revision, 0 };
+}
+
+asio::awaitable<void> KvService::accept()
+{
+    auto self = this->shared_from_this();
+    for (;;) {
+        auto [error, accepted] = co_await this->acceptor.async_accept(asio::as_tuple(asio::use_awaitable));
+        if (error)
+            co_return;
+        auto socket = std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
+        asio::co_spawn(
+            this->context, [self, socket] { return self->serve(std::move(*socket)); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> KvService::serve(asio::ip::tcp::socket socket)
+{
+    auto self = this->shared_from_this();
+    beast::tcp_stream stream(std::move(socket));
+    beast::flat_buffer buffer;
+    for (;;) {
+        http::request<http::string_body> request;
+        auto [readError, readSize]
+            = co_await http::async_read(stream, buffer, request, asio::as_tuple(asio::use_awaitable));
+        if (readError)
+            co_return;
+        auto token = request.find("Fencing-Token");
+        if (token != request.end())
+            this->tokens.push_back(std::strtoll(std::string(token->value()).c_str(), nullptr, 10));
+        Answer answer = co_await this->handle(std::string(request.target()), request.body());
+        http::response<http::string_body> response(http::int_to_status(answer.status), request.version());
+        response.keep_alive(request.keep_alive());
+        response.body() = json::serialize(answer.body);
+        response.prepare_payload();
+        auto [writeError, writeSize]
+            = co_await http::async_write(stream, response, asio::as_tuple(asio::use_awaitable));
+        if (writeError)
+            co_return;
+    }
+}
+
+KvService::Answer KvService::range(const std::string& prefix) const
+{
+    json::array list;
+    for (const auto& [key, item] : this->items) {
+        if (key.starts_with(prefix))
+            list.push_back(
+                json::object { { "key", key }, { "value", encodeBase64(item.value) }, { "revision", item.revision } });
+    }
+    return { 200, { { "items", list }, { "hasMore", false }, { "asOf", this->revision } } };
+}
+
+KvService::Answer KvService::transact(const json::object& request)
+{
+    for (const json::value& row : request.at("expectedRev").as_array()) {
+        auto held = this->items.find(json::value_to<std::string>(row.at("key")));
+        std::int64_t found = held == this->items.end() ? 0 : held->second.revision;
+        if (found != row.at("revision").as_int64())
+            return { 412, {} };
+    }
+    for (const json::value& row : request.at("puts").as_array()) {
+        const json::object& item = row.as_object();
+        std::string key = json::value_to<std::string>(item.at("key"));
+        this->put(key, decodeBase64(json::value_to<std::string>(item.at("value"))));
+        if (const json::value* lease = item.if_contains("lease"))
+            this->items[key].lease = lease->as_int64();
+    }
+    for (const json::value& key : request.at("deletes").as_array()) {
+        this->items.erase(json::value_to<std::string>(key));
+        this->record(json::value_to<std::string>(key), "", true);
+    }
+    return { 200, { { "revision", this->revision } } };
+}
+
+void KvService::endLease(std::int64_t lease)
+{
+    this->leases.erase(lease);
+    for (auto it = this->items.begin(); it != this->items.end();) {
+        if (it->second.lease != lease) {
+            ++it;
+            continue;
+        }
+        this->record(it->first, "", true);
+        it = this->items.erase(it);
+    }
+}
+
+asio::awaitable<KvService::Answer> KvService::watch(std::map<std::string, std::string> query)
+{
+    std::int64_t after = std::strtoll(query["after"].c_str(), nullptr, 10);
+    auto left = std::chrono::milliseconds(std::strtoll(query["waitMs"].c_str(), nullptr, 10));
+    asio::steady_timer timer(this->context);
+    while (this->revision <= after && left.count() > 0 && !this->refusing) {
+        timer.expires_after(watchStep);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        left -= watchStep;
+    }
+    json::array events;
+    for (const Change& change : this->changes) {
+        if (change.revision > after)
+            events.push_back(json::object { { "key", change.key }, { "value", encodeBase64(change.value) },
+                { "revision", change.revision }, { "deleted", change.deleted } });
+    }
+    Answer answer;
+    answer.body["events"] = events;
+    answer.body["asOf"] = this->revision;
+    co_return answer;
+}
+
+asio::awaitable<KvService::Answer> KvService::handle(std::string target, std::string body)
+{
+    std::string path = target.substr(0, target.find('?'));
+    auto query = queryOf(target);
+    Answer answer;
+    if (this->refusing) {
+        answer.status = 503;
+        co_return answer;
+    }
+    if (path == "/api/kv-watch") {
+        answer = co_await this->watch(query);
+        co_return answer;
+    }
+    if (path == "/api/kv-range")
+        co_return this->range(query["prefix"]);
+    if (path == "/api/kv-key") {
+        auto held = this->items.find(query["key"]);
+        if (held == this->items.end()) {
+            answer.status = 404;
+            co_return answer;
+        }
+        answer.body["key"] = held->first;
+        answer.body["value"] = encodeBase64(held->second.value);
+        answer.body["revision"] = held->second.revision;
+        co_return answer;
+    }
+    if (path == "/api/kv-txn")
+        co_return this->transact(json::parse(body).as_object());
+    if (path == "/api/kv-lease") {
+        this->leases[++this->nextLease] = true;
+        answer.body["lease"] = this->nextLease;
+        answer.body["ttlMs"] = json::parse(body).at("ttlMs");
+        co_return answer;
+    }
+    if (path.starts_with("/api/kv-keep/")) {
+        answer.status = this->leases.count(trailingNumber(path)) ? 200 : 404;
+        co_return answer;
+    }
+    if (path.starts_with("/api/kv-lease-end/")) {
+        this->endLease(trailingNumber(path));
+        co_return answer;
+    }
+    if (path == "/promote") {
+        this->promote(json::value_to<std::string>(json::parse(body).at("id")));
+        co_return answer;
+    }
+    answer.status = 404;
+    co_return answer;
+}
+
+} // namespace catkinlock::standin
