Take over an earlier start's slots once its loans are over; gather changes of the store; reread settings

Cause: after all instances restarted, every operation was refused as over its rate for 2 s: the slots lay ready but were claimed only after the time for learning of others. Each change of the store woke each instance for a call of its own. Change: slots of an earlier start are taken over after the longest loan (now 600 ms); 60 ms between answers with changes; settings are reread on SIGHUP and when the file changes.

--- a/src/catkinlock/front_command.cpp
+++ b/src/catkinlock/front_command.cpp
@@ -29,19 +29,28 @@
         return nullptr;
     }
 
+    // Faults go to standard error.
+    std::optional<FrontSettings> readFrontSettings(const std::string& path)
+    {
+        std::string text;
+        if (!readFile(path, text))
+            return std::nullopt;
+        auto settings = parseFrontSettings(text, path);
+        if (settings)
+            return *settings;
+        for (const Error& fault : settings.error())
+            fmt::print(stderr, "{}\n", fault.message);
+        return std::nullopt;
+    }
+
 } // namespace
 
 int runFront(const CommandOptions& options)
 {
-    std::string text;
-    if (!readFile(options.settingsFile, text))
+    std::string path = options.settingsFile;
+    auto settings = readFrontSettings(path);
+    if (!settings)
         return ExitInvalid;
-    auto settings = parseFrontSettings(text, options.settingsFile);
-    if (!settings) {
-        for (const Error& fault : settings.error())
-            fmt::print(stderr, "{}\n", fault.message);
-        return ExitInvalid;
-    }
     MakeSessionPlatform make = findAdapter(settings->adapter);
     if (!make) {
         fmt::print(
@@ -49,7 +58,7 @@
         return ExitInvalid;
     }
     setLogInstance(settings->name);
-    return FrontInstance(*settings, make).run();
+    return FrontInstance(*settings, make, [path] { return readFrontSettings(path); }).run();
 }
 
 } // namespace catkinlock
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -21,7 +21,6 @@
     constexpr Milliseconds waitStep { 5 };
     // Requests of one workspace that may wait here at once.
     constexpr std::uint32_t mostWaiting = 256;
-    constexpr Milliseconds loanDuration { 1500 };
     // A loan that ends within this time is already replaced.
     constexpr Milliseconds renewAhead { 150 };
     // Least time between two requests to the same lender, and after one that had nothing to spare.
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -28,6 +28,10 @@
 /// Number of slots that each workspace's rate is divided among, at most.
 inline constexpr std::uint32_t sharesPerWorkspace = 16;
 
+/// Longest loan of a part of a rate. An instance that starts again waits for as long before it takes over what its
+/// earlier start held, since that may have been lent.
+inline constexpr Milliseconds loanDuration { 600 };
+
 /// Admits requests within the rate of their workspace, counted over the fleet. Requests take tokens on their own thread
 /// without a lock; the control thread refills them, and borrows from peers where they run short.
 class Admission : public std::enable_shared_from_this<Admission> {
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
+#include "libserver/admission.h"
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -12,7 +13,7 @@
 
 namespace {
 
-    constexpr Milliseconds keepInterval { 250 };
+    constexpr Milliseconds keepInterval { 150 };
     // Time to learn of the other instances before the first claim. One that claims alone has to give most of it back,
     // and each change of hands costs the fleet a round of gossip.
     constexpr Milliseconds learningTime { 1200 };
@@ -81,10 +82,16 @@
     asio::steady_timer timer(this->context);
     Milliseconds claimPause = firstClaimPause;
     TimePoint claimAt = Clock::now() + learningTime;
+    TimePoint takeOverAt = Clock::now() + loanDuration;
+    bool tookOver = false;
     while (!this->leaving) {
         this->dropIfOver();
         if (Clock::now() >= this->renewAt && !co_await this->renew())
             this->renewAt = Clock::now() + claimPause;
+        if (!tookOver && this->lease && Clock::now() >= takeOverAt) {
+            tookOver = co_await this->readSlots();
+            co_await this->takeOver();
+        }
         bool missing = this->lease && this->slots.size() < this->fairShare();
         if (missing && Clock::now() >= claimAt) {
             std::size_t before = this->slots.size();
@@ -133,11 +140,7 @@
 {
     if (!this->slotsRead && !co_await this->readSlots())
         co_return;
-    // An earlier start on this address has ended, and its loans with it, so its slots are this one's.
-    for (auto [slot, revision] : std::exchange(this->leftBehind, {})) {
-        if (this->lease)
-            co_await this->claim(slot, revision);
-    }
+    co_await this->takeOver();
     // Each instance starts elsewhere, so that they seldom want the same slot.
     std::uint32_t first = static_cast<std::uint32_t>(stableHash(this->options.instance) % this->options.slotCount);
     std::size_t wanted = this->fairShare();
@@ -155,6 +158,16 @@
     this->announce();
 }
 
+// An earlier start on this address has ended, and its loans with it, so its slots are this one's.
+asio::awaitable<void> SlotKeeper::takeOver()
+{
+    for (auto [slot, revision] : std::exchange(this->leftBehind, {})) {
+        if (this->lease)
+            co_await this->claim(slot, revision);
+    }
+    this->announce();
+}
+
 asio::awaitable<bool> SlotKeeper::readSlots()
 {
     auto range = co_await this->platform->readPrefix(slotPrefix);
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -47,6 +47,7 @@
     boost::asio::awaitable<void> claimMissing();
     boost::asio::awaitable<bool> claim(std::uint32_t slot, std::int64_t expected);
     boost::asio::awaitable<bool> readSlots();
+    boost::asio::awaitable<void> takeOver();
     boost::asio::awaitable<void> releaseSurplus();
     boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
     std::size_t fairShare() const;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -39,13 +39,14 @@
     constexpr double idleSessionsPart = 0.25;
     constexpr double transactionsPart = 0.5;
     constexpr double lastPart = 0.85;
+    constexpr Milliseconds settingsInterval { 5000 };
     constexpr Milliseconds trafficInterval { 10000 };
     constexpr Milliseconds drainStep { 50 };
 
 } // namespace
 
 struct FrontInstance::Parts {
-    Parts(FrontSettings, MakeSessionPlatform);
+    Parts(FrontSettings, MakeSessionPlatform, std::function<std::optional<FrontSettings>()>);
 
     bool open();
     void start();
@@ -60,9 +61,12 @@
     asio::awaitable<void> keepRequestHouse();
     asio::awaitable<void> awaitLeave();
     asio::awaitable<void> awaitReload();
+    asio::awaitable<void> watchSettings();
+    void reload(const char* cause);
     asio::awaitable<void> leave();
 
     FrontSettings settings;
+    std::function<std::optional<FrontSettings>()> reread;
     asio::io_context control { 1 };
     asio::io_context requests { 1 };
     InstanceLifecycle lifecycle;
@@ -87,8 +91,10 @@
     std::thread requestThread;
 };
 
-FrontInstance::Parts::Parts(FrontSettings given, MakeSessionPlatform makePlatform)
+FrontInstance::Parts::Parts(
+    FrontSettings given, MakeSessionPlatform makePlatform, std::function<std::optional<FrontSettings>()> reread)
     : settings(std::move(given))
+    , reread(std::move(reread))
     , platform(makePlatform(this->control, this->settings))
     , freshness(std::make_shared<ViewFreshness>(Milliseconds(this->settings.revocationMs) - revocationMargin))
     , builder(this->platform.documents)
@@ -162,6 +168,7 @@
     spawn(this->requests, [this] { return this->keepRequestHouse(); });
     spawn(this->control, [this] { return this->awaitLeave(); });
     spawn(this->control, [this] { return this->awaitReload(); });
+    spawn(this->control, [this] { return this->watchSettings(); });
     this->requestThread = std::thread([this] {
         registerSnapshotReader();
         auto guard = asio::make_work_guard(this->requests);
@@ -319,10 +326,35 @@
     asio::signal_set signals(this->control, SIGHUP);
     for (;;) {
         co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
-        writeLog(LogLevel::Info, "reload_requested");
+        this->reload("signal");
     }
 }
 
+// Settings may change without a signal too.
+asio::awaitable<void> FrontInstance::Parts::watchSettings()
+{
+    asio::steady_timer timer(this->control);
+    for (;;) {
+        timer.expires_after(settingsInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        auto next = this->reread();
+        if (next && *next != this->settings)
+            this->reload("file");
+    }
+}
+
+// Times are taken over; addresses and names stay as they are until the next start.
+void FrontInstance::Parts::reload(const char* cause)
+{
+    auto next = this->reread();
+    writeLog(next ? LogLevel::Info : LogLevel::Error, "reload",
+        { { "cause", cause }, { "outcome", next ? "taken over" : "faulty settings; the last ones stay" } });
+    if (!next)
+        return;
+    this->settings = *next;
+    this->freshness->setLimit(Milliseconds(next->revocationMs) - revocationMargin);
+}
+
 asio::awaitable<void> FrontInstance::Parts::leave()
 {
     this->lifecycle.leave();
@@ -353,8 +385,9 @@
     this->control.stop();
 }
 
-FrontInstance::FrontInstance(FrontSettings settings, MakeSessionPlatform makePlatform)
-    : parts(std::make_unique<Parts>(std::move(settings), makePlatform))
+FrontInstance::FrontInstance(
+    FrontSettings settings, MakeSessionPlatform makePlatform, std::function<std::optional<FrontSettings>()> reread)
+    : parts(std::make_unique<Parts>(std::move(settings), makePlatform, std::move(reread)))
 {
 }
 
--- a/src/libsession/front_instance.h
+++ b/src/libsession/front_instance.h
@@ -2,14 +2,17 @@
 
 #include "catkinlock/front_settings.h"
 #include "catkinlock/session_platform.h"
+#include <functional>
 #include <memory>
+#include <optional>
 
 namespace catkinlock {
 
 /// An instance that serves sessions.
 class FrontInstance {
 public:
-    FrontInstance(FrontSettings, MakeSessionPlatform);
+    /// `reread` reads the settings again; nothing if they are faulty.
+    FrontInstance(FrontSettings, MakeSessionPlatform, std::function<std::optional<FrontSettings>()> reread);
     ~FrontInstance();
 
     /// Serves until a signal ends it. Returns the process's exit status.
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -15,6 +15,7 @@
     constexpr Milliseconds pollWait { 1500 };
     // A store that was lost is asked for an answer at once.
     constexpr Milliseconds probeWait { 1 };
+    constexpr Milliseconds gatherTime { 60 };
     constexpr Milliseconds firstPause { 100 };
     constexpr Milliseconds longestPause { 800 };
     constexpr unsigned mostDoublings = 3;
@@ -115,8 +116,12 @@
         this->apply(change);
     this->seen = std::max(this->seen, answer->revision);
     this->freshness->confirm(askedAt);
-    if (!answer->changes.empty())
-        this->changed();
+    if (answer->changes.empty())
+        co_return true;
+    this->changed();
+    // Changes often come together; each call would bring one of them.
+    asio::steady_timer timer(this->context, gatherTime);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     co_return true;
 }
 
--- a/src/libsession/view_freshness.h
+++ b/src/libsession/view_freshness.h
@@ -15,6 +15,7 @@
         : limit(limit)
     {
     }
+    void setLimit(Milliseconds next) { this->limit.store(next); }
 
     /// The view held everything that the store had acknowledged at `asOf`.
     void confirm(TimePoint asOf)
@@ -23,17 +24,17 @@
             this->confirmedAt.store(asOf);
     }
     TimePoint confirmed() const { return this->confirmedAt.load(); }
-    bool isFresh(TimePoint now) const { return now - this->confirmedAt.load() < this->limit; }
+    bool isFresh(TimePoint now) const { return now - this->confirmedAt.load() < this->limit.load(); }
     /// True while at least `part` (0 to 1) of the time is left.
-    bool hasLeft(TimePoint now, double part) const { return now - this->confirmedAt.load() < this->limit * (1 - part); }
-    Milliseconds usableFor() const { return this->limit; }
+    bool hasLeft(TimePoint now, double part) const { return now - this->confirmedAt.load() < this->limit.load() * (1 - part); }
+    Milliseconds usableFor() const { return this->limit.load(); }
     Milliseconds age(TimePoint now) const
     {
         return std::chrono::duration_cast<Milliseconds>(now - this->confirmedAt.load());
     }
 
 private:
-    Milliseconds limit;
+    std::atomic<Milliseconds> limit;
     std::atomic<TimePoint> confirmedAt { TimePoint() };
 };
 
