--- a/src/include/catkinlock/clock.h
+++ b/src/include/catkinlock/clock.h
@@ -12,7 +12,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<Clock>;
-    static constexpr bool is_steady = true;
 
     static time_point now()
     {
--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -44,6 +44,7 @@
         record.slots.push_back(slot);
     }
     std::vector<InstanceRecord> list;
+    list.reserve(records.size());
     for (auto& [name, record] : records)
         list.push_back(std::move(record));
     return list;
--- a/src/libsession/view_freshness.h
+++ b/src/libsession/view_freshness.h
@@ -26,7 +26,10 @@
     TimePoint confirmed() const { return this->confirmedAt.load(); }
     bool isFresh(TimePoint now) const { return now - this->confirmedAt.load() < this->limit.load(); }
     /// True while at least `part` (0 to 1) of the time is left.
-    bool hasLeft(TimePoint now, double part) const { return now - this->confirmedAt.load() < this->limit.load() * (1 - part); }
+    bool hasLeft(TimePoint now, double part) const
+    {
+        return now - this->confirmedAt.load() < this->limit.load() * (1 - part);
+    }
     Milliseconds usableFor() const { return this->limit.load(); }
     Milliseconds age(TimePoint now) const
     {
--- a/src/standin/line_member.cpp
+++ b/src/standin/line_member.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-LineMember::LineMember(
-    asio::io_context& context, std::shared_ptr<LineGroup> group, std::size_t index, std::string id)
+LineMember::LineMember(asio::io_context& context, std::shared_ptr<LineGroup> group, std::size_t index, std::string id)
     : context(context)
     , group(std::move(group))
     , index(index)
@@ -162,8 +161,8 @@
             out = this->answer(*connection, *statement);
         const Position& at = this->group->position;
         out += fmt::format("READY {} {}.{}\r\n", states[static_cast<std::size_t>(connection->state)], at.term, at.lsn);
-        auto [error, size] = co_await asio::async_write(
-            connection->socket, asio::buffer(out), asio::as_tuple(asio::use_awaitable));
+        auto [error, size]
+            = co_await asio::async_write(connection->socket, asio::buffer(out), asio::as_tuple(asio::use_awaitable));
         if (error)
             co_return;
     }
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -122,8 +122,8 @@
                                            "[platform]\nadapter = \"lines\"\nstore = \"{}\"\npromotions = \"{}\"\n"
                                            "[fleet]\nsecret = \"a secret of the test fleet\"\n",
             i, this->callerAddresses.back(), freeAddress(), freeAddress(), this->storeAddress, this->storeAddress);
-        this->instances.push_back(std::make_unique<Process>(
-            std::vector<std::string> { CATKINLOCK_BINARY, "front", "--settings", path }));
+        this->instances.push_back(
+            std::make_unique<Process>(std::vector<std::string> { CATKINLOCK_BINARY, "front", "--settings", path }));
         ASSERT_FALSE(this->instances.back()->awaitLineWith("ready").empty());
     }
 
