--- a/src/include/catkinlock/address.h
+++ b/src/include/catkinlock/address.h
@@ -12,4 +12,7 @@
 /// The "ip:port" of an endpoint.
 std::string formatAddress(const boost::asio::ip::tcp::endpoint&);
 
+/// Opens `acceptor` on an "ip:port" that may have been in use a moment ago. False if it can't be bound.
+bool listenOn(boost::asio::ip::tcp::acceptor& acceptor, const std::string& address);
+
 } // namespace catkinlock
--- a/src/libplatform/address.cpp
+++ b/src/libplatform/address.cpp
@@ -25,4 +25,18 @@
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+bool listenOn(tcp::acceptor& acceptor, const std::string& address)
+{
+    auto endpoint = parseAddress(address);
+    boost::system::error_code error;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    return !error;
+}
+
 } // namespace catkinlock
--- a/src/libserver/http_server.cpp
+++ b/src/libserver/http_server.cpp
@@ -33,17 +33,8 @@
 
 std::string HttpServer::listen(const std::string& address)
 {
-    auto endpoint = parseAddress(address);
-    boost::system::error_code error;
     auto& socket = this->acceptor->socket;
-    socket.open(endpoint.protocol(), error);
-    if (!error)
-        socket.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        socket.bind(endpoint, error);
-    if (!error)
-        socket.listen(asio::socket_base::max_listen_connections, error);
-    return error ? "" : formatAddress(socket.local_endpoint());
+    return listenOn(socket, address) ? formatAddress(socket.local_endpoint()) : "";
 }
 
 void HttpServer::start()
--- a/src/libsession/page_server.cpp
+++ b/src/libsession/page_server.cpp
@@ -39,17 +39,7 @@
 
 bool PageServer::start(const std::string& address)
 {
-    auto endpoint = parseAddress(address);
-    boost::system::error_code error;
-    auto& socket = this->acceptor->socket;
-    socket.open(endpoint.protocol(), error);
-    if (!error)
-        socket.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        socket.bind(endpoint, error);
-    if (!error)
-        socket.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
+    if (!listenOn(this->acceptor->socket, address))
         return false;
     spawn(this->context, [self = this->shared_from_this()] { return self->accept(); });
     return true;
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -213,6 +213,7 @@
 asio::awaitable<TargetReply> Session::answer(SessionStatement statement)
 {
     ++this->context->statements;
+    this->runner.beginStatement();
     auto call = this->admitCall();
     if (!call) {
         TargetReply refusal = call.error();
--- a/src/libsession/session_front.cpp
+++ b/src/libsession/session_front.cpp
@@ -34,20 +34,7 @@
 
 SessionFront::~SessionFront() = default;
 
-bool SessionFront::listen(const std::string& address)
-{
-    auto endpoint = parseAddress(address);
-    boost::system::error_code error;
-    auto& socket = this->acceptor->socket;
-    socket.open(endpoint.protocol(), error);
-    if (!error)
-        socket.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        socket.bind(endpoint, error);
-    if (!error)
-        socket.listen(asio::socket_base::max_listen_connections, error);
-    return !error;
-}
+bool SessionFront::listen(const std::string& address) { return listenOn(this->acceptor->socket, address); }
 
 void SessionFront::start()
 {
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -80,6 +80,12 @@
     return this->refuse(error, std::move(text));
 }
 
+void SessionRunner::beginStatement()
+{
+    this->member.clear();
+    this->tries = 0;
+}
+
 // Between its statements a transaction holds a connection and takes no room at the member.
 void SessionRunner::setResting(bool rests)
 {
@@ -184,8 +190,6 @@
 
 asio::awaitable<TargetReply> SessionRunner::run(SessionStatement statement, StatementCall call)
 {
-    this->member.clear();
-    this->tries = 0;
     TransactionState before = this->transaction.state;
     bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     if (before == TransactionState::Failed && !ends)
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -33,6 +33,8 @@
 
     /// Answers a statement. Every reply says what is true: done with the member's proof, not kept, or unknown.
     boost::asio::awaitable<TargetReply> run(SessionStatement, StatementCall);
+    /// Forgets where the last statement went, before the next one.
+    void beginStatement();
     /// Rolls back what is open, in the background. The session's transaction then counts as failed.
     void abandon();
     TransactionState state() const { return this->transaction.state; }
--- a/src/standin/kv_service.h
+++ b/src/standin/kv_service.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,7 +14,7 @@
 namespace catkinlock::standin {
 
 /// A stand-in for the key-value store of the line protocol's platform, and for its call that promotes a member. Leases
-/// last until they are ended.
+/// end with their time.
 class KvService : public std::enable_shared_from_this<KvService> {
 public:
     /// `promote` carries out a promotion of the member with this id.
@@ -34,6 +35,10 @@
         std::int64_t revision = 0;
         std::int64_t lease = 0;
     };
+    struct Lease {
+        std::chrono::milliseconds length;
+        std::chrono::steady_clock::time_point end;
+    };
     struct Change {
         std::string key;
         std::string value;
@@ -51,6 +56,7 @@
     boost::asio::awaitable<Answer> watch(std::map<std::string, std::string> query);
     Answer range(const std::string& prefix) const;
     Answer transact(const boost::json::object& request);
+    void expireLeases();
     void endLease(std::int64_t lease);
     void record(const std::string& key, const std::string& value, bool deleted);
 
@@ -60,7 +66,7 @@
     std::map<std::string, Item> items;
     std::vector<Change> changes;
     std::vector<std::int64_t> tokens;
-    std::map<std::int64_t, bool> leases;
+    std::map<std::int64_t, Lease> leases;
     std::int64_t revision = 1;
     std::int64_t nextLease = 100;
     bool refusing = false;
