--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -47,6 +47,9 @@
 
 // A group of three members, a store and two instances.
 class Site {
+    // First, so that it outlives everything that uses it.
+    asio::io_context context { 1 };
+
 public:
     Site()
     {
@@ -129,7 +132,6 @@
         ASSERT_FALSE(this->instances.back()->awaitLineWith("ready").empty());
     }
 
-    asio::io_context context { 1 };
     std::string storeAddress;
     std::vector<std::string> addresses;
     std::thread thread;
