Rates by granted tokens in place of lent units; restarted instances use their slots at once

Change: holders grant whole tokens for 120 ms and leave their room in the burst empty meanwhile; at most half of a burst is out, so a new or restarted holder begins at once without tokens. Requests that would wait in vain are refused at once. Tokens of operations of which nothing ran are given back. Slots are claimed in the order of a hash, so that a large fleet does not race. Idle connections beyond half of an instance's share close after 2 s. The property test of lent units is replaced by the same one over granted tokens with restarts, with five mutations that it has to see; before the half-burst bound it failed.

--- a/src/libcore/share_bucket.cpp
+++ b/src/libcore/share_bucket.cpp
@@ -8,12 +8,10 @@
 
     // Nanoseconds times rate, units and thousandths, divided by this, are thousandths of a token.
     constexpr std::uint64_t accrualDivisor = unitsPerWorkspace * 1000000;
-    // A lender counts a loan for this much longer than the borrower, for clocks that run at different speeds.
-    constexpr int lenderMarginDivisor = 50;
-    // A lender keeps this part of its home units for its own first requests.
-    constexpr std::uint64_t keptPart = 64;
-    // A lender keeps this many times what its own demand takes.
-    constexpr double demandMargin = 1.1;
+    // A holder counts a grant for this much longer than its receiver, for clocks that run at different speeds.
+    constexpr Duration holderMargin = grantDuration / 50;
+    // At most the burst divided by this is out at once.
+    constexpr std::int64_t mostGrantedDivisor = 2;
 
 } // namespace
 
@@ -25,45 +23,46 @@
 {
 }
 
-std::uint64_t ShareBucket::units() const
+double ShareBucket::accrualRate() const
 {
-    std::uint64_t away = 0;
-    for (const Term& term : this->lent)
-        away += term.units;
-    std::uint64_t total = this->home - std::min(this->home, away);
-    for (const Term& term : this->borrowed)
-        total += term.units;
-    return total;
+    return static_cast<double>(this->rate) * static_cast<double>(this->home) / static_cast<double>(unitsPerWorkspace);
+}
+
+std::int64_t ShareBucket::burstOf(std::uint64_t units) const
+{
+    auto whole = static_cast<unsigned __int128>(units) * this->burst * milliPerToken;
+    return static_cast<std::int64_t>(whole / unitsPerWorkspace);
 }
 
-std::uint64_t ShareBucket::unitsAt(TimePoint then) const
+std::int64_t ShareBucket::grantedTokens() const
 {
-    std::uint64_t away = 0;
-    for (const Term& term : this->lent)
-        away += term.end > then ? term.units : 0;
-    std::uint64_t total = this->homeUntil > then ? this->home - std::min(this->home, away) : 0;
-    for (const Term& term : this->borrowed)
-        total += term.end > then ? term.units : 0;
+    std::int64_t total = 0;
+    for (const Batch& batch : this->granted)
+        total += batch.milliTokens;
     return total;
 }
 
-std::int64_t ShareBucket::capacity() const
+// The burst of the units held, less what others may still spend of it.
+std::int64_t ShareBucket::homeCapacity() const
 {
-    auto whole = static_cast<unsigned __int128>(this->units()) * this->burst * milliPerToken;
-    return static_cast<std::int64_t>(whole / unitsPerWorkspace);
+    return std::max<std::int64_t>(this->burstOf(this->home) - this->grantedTokens(), 0);
 }
 
-std::uint64_t ShareBucket::unitsFor(double demand) const
+std::int64_t ShareBucket::receivedTokens() const
 {
-    double fraction = std::min(1.0, demand / this->rate);
-    return static_cast<std::uint64_t>(fraction * unitsPerWorkspace);
+    std::int64_t total = 0;
+    for (const Batch& batch : this->received)
+        total += batch.milliTokens;
+    return total;
 }
 
+std::int64_t ShareBucket::capacity() const { return this->homeCapacity() + this->receivedTokens(); }
+
 TimePoint ShareBucket::validUntil() const
 {
     TimePoint end = this->home ? this->homeUntil : TimePoint::max();
-    for (const Term& term : this->borrowed)
-        end = std::min(end, term.end);
+    for (const Batch& batch : this->received)
+        end = std::min(end, batch.end);
     return end;
 }
 
@@ -74,7 +73,7 @@
     auto elapsed = static_cast<unsigned __int128>((then - this->accruedTo).count());
     this->accruedTo = then;
     std::int64_t most = this->capacity();
-    unsigned __int128 earned = elapsed * this->rate * this->units() + this->remainder;
+    unsigned __int128 earned = elapsed * this->rate * this->home + this->remainder;
     this->remainder = static_cast<std::uint64_t>(earned % accrualDivisor);
     unsigned __int128 tokens = earned / accrualDivisor;
     if (tokens > static_cast<unsigned __int128>(most - std::min(level, most))) {
@@ -84,29 +83,50 @@
     return level + static_cast<std::int64_t>(tokens);
 }
 
+// What was received is spent before what accrued here, since it ends sooner.
+void ShareBucket::spendReceived(std::int64_t spent)
+{
+    // More may have been given back than was spent.
+    spent = std::max<std::int64_t>(spent, 0);
+    for (Batch& batch : this->received) {
+        std::int64_t part = std::min(batch.milliTokens, spent);
+        batch.milliTokens -= part;
+        spent -= part;
+    }
+    std::erase_if(this->received, [](const Batch& batch) { return !batch.milliTokens; });
+}
+
 std::int64_t ShareBucket::advance(TimePoint now, std::int64_t level)
 {
     // When tokens were spent since the last change is not known. Counted as spent at the latest moment, what came in
     // before runs over a full bucket; counted as spent at once, a burst after a quiet time would be refilled from it.
     std::int64_t spent = this->base - level;
     level = this->base;
-    // Units end one after the other, and between two ends the rate is constant.
+    // Batches and units end one after the other, and between two ends the capacity is constant.
     for (;;) {
         TimePoint next = this->validUntil();
-        for (const Term& term : this->lent)
-            next = std::min(next, term.end);
+        for (const Batch& batch : this->granted)
+            next = std::min(next, batch.end);
         if (next > now)
             break;
         // Nothing is spent past an end without an advance.
         level = this->accrueTo(next, level) - spent;
+        this->spendReceived(spent);
         spent = 0;
-        std::erase_if(this->borrowed, [next](const Term& term) { return term.end <= next; });
-        std::erase_if(this->lent, [next](const Term& term) { return term.end <= next; });
+        std::int64_t ended = 0;
+        for (const Batch& batch : this->received)
+            ended += batch.end <= next ? batch.milliTokens : 0;
+        level = std::max<std::int64_t>(level - ended, 0);
+        std::erase_if(this->received, [next](const Batch& batch) { return batch.end <= next; });
+        std::erase_if(this->granted, [next](const Batch& batch) { return batch.end <= next; });
         if (this->homeUntil <= next)
             this->home = 0;
         level = std::min(level, this->capacity());
     }
-    return this->keep(this->accrueTo(now, level) - spent);
+    level = this->accrueTo(now, level) - spent;
+    this->spendReceived(spent);
+    // A refund has no room in a bucket that has filled meanwhile.
+    return this->keep(std::min(level, this->capacity()));
 }
 
 std::int64_t ShareBucket::keep(std::int64_t level)
@@ -125,79 +145,41 @@
 
 std::int64_t ShareBucket::setHome(std::uint64_t newUnits, TimePoint validUntil, std::int64_t level)
 {
+    // What an earlier holder of new units granted may still be out.
+    if (newUnits > this->home)
+        this->granted.push_back({ this->burstOf(newUnits - this->home) / mostGrantedDivisor,
+            this->accruedTo + grantDuration + holderMargin });
     this->home = newUnits;
     this->homeUntil = validUntil;
     return this->keep(std::min(level, this->capacity()));
 }
 
-std::optional<ShareLoan> ShareBucket::lend(
-    std::uint64_t id, TimePoint now, std::uint64_t wanted, Milliseconds duration, double demand, std::int64_t& level)
-{
-    Duration counted = duration + duration / lenderMarginDivisor;
-    // What is lent has to be back before the lease on it ends, or another holder could have it twice.
-    if (!this->home || now + counted >= this->homeUntil)
-        return std::nullopt;
-    std::uint64_t own = this->units();
-    std::uint64_t away = 0;
-    for (const Term& term : this->lent)
-        away += term.units;
-    std::uint64_t homeHere = this->home - std::min(this->home, away);
-    auto kept = std::max(this->home / keptPart, this->unitsFor(demand * demandMargin));
-    std::uint64_t spare = std::min(homeHere, own - std::min(own, kept));
-    std::uint64_t given = std::min(wanted, spare);
-    if (!given)
-        return std::nullopt;
-    auto tokens
-        = static_cast<std::int64_t>(static_cast<unsigned __int128>(std::max<std::int64_t>(level, 0)) * given / own);
-    std::int64_t before = this->capacity();
-    this->lent.push_back({ id, given, now + counted });
-    std::int64_t left = this->capacity();
-    // The level that stays must fit into the units that stay, and what goes into those that go.
-    tokens = std::min(std::max(tokens, level - left), before - left);
-    level = this->keep(std::min(level - tokens, left));
-    return ShareLoan { id, given, tokens, duration };
-}
-
-std::int64_t ShareBucket::borrow(TimePoint askedAt, TimePoint now, const ShareLoan& loan, std::int64_t level)
+TokenGrant ShareBucket::grant(TimePoint now, std::int64_t wanted, std::int64_t reserved, std::int64_t& level)
 {
-    TimePoint end = askedAt + loan.duration;
-    if (end <= now)
-        return level;
-    this->borrowed.push_back({ loan.id, loan.units, end });
-    return this->keep(std::min(level + loan.milliTokens, this->capacity()));
-}
-
-std::vector<ShareLoan> ShareBucket::giveBack(std::uint64_t needed, std::int64_t& level)
-{
-    std::vector<ShareLoan> returned;
-    for (std::size_t i = 0; i < this->borrowed.size();) {
-        Term term = this->borrowed[i];
-        std::uint64_t own = this->units();
-        if (own < needed + term.units) {
-            ++i;
-            continue;
-        }
-        std::int64_t before = this->capacity();
-        this->borrowed.erase(this->borrowed.begin() + static_cast<std::ptrdiff_t>(i));
-        std::int64_t left = this->capacity();
-        // At least what no longer fits goes with the units, and no more than fits into them.
-        std::int64_t share = level * static_cast<std::int64_t>(term.units) / static_cast<std::int64_t>(own);
-        std::int64_t tokens = std::min(std::max(share, level - left), before - left);
-        level = std::min(level - tokens, left);
-        returned.push_back({ term.id, term.units, tokens, {} });
-    }
-    this->keep(level);
-    return returned;
+    // Received tokens are not passed on: their time runs at the instance that they were granted to.
+    std::int64_t own = level - this->receivedTokens() - reserved;
+    std::int64_t room = this->burstOf(this->home) / mostGrantedDivisor - this->grantedTokens();
+    std::int64_t given = std::min({ wanted, own, room });
+    // A part of a token is worth nothing where the rest does not come; it is granted only by those who never have more.
+    bool neverHasOne = this->burstOf(this->home) < mostGrantedDivisor * milliPerToken;
+    if (!neverHasOne)
+        given -= given % milliPerToken;
+    if (given <= 0)
+        return {};
+    this->granted.push_back({ given, now + grantDuration + holderMargin });
+    level = this->keep(level - given);
+    return { given, grantDuration };
 }
 
-std::int64_t ShareBucket::takeBack(std::uint64_t id, std::int64_t milliTokens, std::int64_t level)
+std::int64_t ShareBucket::receive(TimePoint askedAt, TimePoint now, const TokenGrant& grant, std::int64_t level)
 {
-    auto term
-        = std::find_if(this->lent.begin(), this->lent.end(), [id](const Term& lentTerm) { return lentTerm.id == id; });
-    if (term == this->lent.end())
+    TimePoint end = askedAt + grant.duration;
+    if (end <= now || grant.milliTokens <= 0)
         return level;
-    this->lent.erase(term);
-    return this->keep(std::min(level + milliTokens, this->capacity()));
+    auto later = std::find_if(
+        this->received.begin(), this->received.end(), [end](const Batch& batch) { return batch.end > end; });
+    this->received.insert(later, { grant.milliTokens, end });
+    return this->keep(level + grant.milliTokens);
 }
 
 } // namespace catkinlock
--- a/src/libcore/share_bucket_test.cpp
+++ b/src/libcore/share_bucket_test.cpp
@@ -15,24 +15,24 @@
 constexpr std::size_t instanceCount = 6;
 constexpr std::uint32_t shareSlots = 12;
 constexpr std::uint64_t unitsPerSlot = unitsPerWorkspace / shareSlots;
-constexpr milliseconds loanTime { 2000 };
 
 // A decision that a test changes to see that the check catches it.
 enum class Mutation {
     None,
-    LenderKeepsUnits,
-    BorrowerCountsFromArrival,
-    DoubledLoansAreTaken,
-    BorrowerKeepsWhatItReturns,
+    HolderKeepsTokens,
+    HolderRefillsTheRoom,
+    ReceiverCountsFromArrival,
+    DoubledGrantsAreTaken,
+    RestartKeepsTokens,
 };
 
 struct Message {
     TimePoint at;
-    std::size_t lender;
-    std::size_t borrower;
+    std::size_t holder;
+    std::size_t receiver;
     std::uint64_t id;
     TimePoint askedAt;
-    ShareLoan loan;
+    TokenGrant grant;
 };
 
 struct Instance {
@@ -43,11 +43,11 @@
     std::vector<std::uint32_t> slots;
     TimePoint leaseEnd;
     std::vector<std::pair<std::uint64_t, TimePoint>> asked;
-    std::map<std::uint64_t, std::size_t> lenders;
 };
 
-// A fleet that lends and borrows under an adversary: messages are late, lost or doubled, holders are paused past their
-// leases, and slots change hands when the platform ends a lease.
+// A fleet whose instances grant each other tokens under an adversary: messages are late, lost or doubled, holders are
+// paused past their leases or start again at once with their slots, and slots change hands when the platform ends a
+// lease.
 class Fleet {
 public:
     Fleet(std::uint64_t seed, std::uint32_t rate, std::uint32_t burst, Mutation mutation)
@@ -74,7 +74,8 @@
                 // A holder that wakes admits before it learns anything.
                 this->admit(this->instances[i], now, admitted);
                 this->keepSlots(this->instances[i], i);
-                this->lendAndBorrow(i);
+                this->restart(this->instances[i]);
+                this->askAndGrant(i);
             }
         }
         return admitted;
@@ -110,45 +111,60 @@
         }
     }
 
-    void lendAndBorrow(std::size_t index)
+    // A holder that starts again has its slots at once, and no tokens. What it granted is still out.
+    void restart(Instance& instance)
+    {
+        if (!this->chance(0.0005))
+            return;
+        ShareBucket fresh(this->rate, this->burst, this->now);
+        std::int64_t kept = this->mutation == Mutation::RestartKeepsTokens ? 1000000 : 0;
+        instance.level = fresh.setHome(unitsPerSlot * instance.slots.size(), instance.leaseEnd, kept);
+        instance.bucket[0] = fresh;
+        instance.asked.clear();
+    }
+
+    void askAndGrant(std::size_t index)
     {
         Instance& instance = this->instances[index];
-        if (this->chance(0.004)) {
-            std::size_t lender = static_cast<std::size_t>(this->pick(0, instanceCount - 1));
+        if (this->chance(0.02)) {
+            std::size_t holder = static_cast<std::size_t>(this->pick(0, instanceCount - 1));
             instance.asked.emplace_back(++this->lastId, this->now);
-            if (lender != index && !this->chance(0.1))
+            if (holder != index && !this->chance(0.1))
                 this->requests.push_back(
-                    { this->now + milliseconds(this->pick(1, 40)), lender, index, this->lastId, this->now, {} });
+                    { this->now + milliseconds(this->pick(1, 40)), holder, index, this->lastId, this->now, {} });
         }
-        // Lend what was asked for, answers may be lost, late or doubled.
+        // Grant what was asked for; answers may be lost, late or doubled.
         for (std::size_t i = 0; i < this->requests.size();) {
             Message message = this->requests[i];
-            if (message.lender != index || message.at > this->now) {
+            if (message.holder != index || message.at > this->now) {
                 ++i;
                 continue;
             }
             this->requests.erase(this->requests.begin() + static_cast<std::ptrdiff_t>(i));
             instance.level = instance.bucket[0].advance(this->now, instance.level);
-            ShareBucket unlent = instance.bucket[0];
-            std::int64_t before = instance.level;
-            auto loan = instance.bucket[0].lend(++this->lastLoan, this->now,
-                static_cast<std::uint64_t>(this->pick(1, 300000)), loanTime, 0, instance.level);
-            if (this->mutation == Mutation::LenderKeepsUnits) {
-                instance.bucket[0] = unlent;
-                instance.level = before;
+            ShareBucket before = instance.bucket[0];
+            std::int64_t levelBefore = instance.level;
+            message.grant
+                = instance.bucket[0].grant(this->now, this->pick(1, 60) * milliPerToken / 2, 0, instance.level);
+            if (this->mutation == Mutation::HolderKeepsTokens) {
+                instance.bucket[0] = before;
+                instance.level = levelBefore;
             }
-            if (!loan || this->chance(0.1))
+            if (this->mutation == Mutation::HolderRefillsTheRoom) {
+                // The tokens are taken off as if they had been spent here.
+                instance.bucket[0] = before;
+                instance.level = instance.bucket[0].advance(this->now, instance.level);
+            }
+            if (!message.grant.milliTokens || this->chance(0.1))
                 continue;
-            message.loan = *loan;
             for (int copy = this->chance(0.2) ? 2 : 1; copy; --copy) {
-                message.at = this->now + milliseconds(this->chance(0.1) ? this->pick(500, 3000) : this->pick(1, 40));
+                message.at = this->now + milliseconds(this->chance(0.1) ? this->pick(200, 3000) : this->pick(1, 40));
                 this->replies.push_back(message);
             }
         }
-        this->returnLoans(index);
         for (std::size_t i = 0; i < this->replies.size();) {
             Message message = this->replies[i];
-            if (message.borrower != index || message.at > this->now) {
+            if (message.receiver != index || message.at > this->now) {
                 ++i;
                 continue;
             }
@@ -156,49 +172,13 @@
             auto asked = std::find_if(instance.asked.begin(), instance.asked.end(),
                 [&](const auto& item) { return item.first == message.id; });
             bool known = asked != instance.asked.end();
-            if (!known && this->mutation != Mutation::DoubledLoansAreTaken)
+            if (!known && this->mutation != Mutation::DoubledGrantsAreTaken)
                 continue;
             if (known)
                 instance.asked.erase(asked);
-            TimePoint from = this->mutation == Mutation::BorrowerCountsFromArrival ? this->now : message.askedAt;
-            instance.level = instance.bucket[0].advance(this->now, instance.level);
-            instance.level = instance.bucket[0].borrow(from, this->now, message.loan, instance.level);
-            instance.lenders[message.loan.id] = message.lender;
-        }
-    }
-
-    // Gives back what is not needed; returns may be lost, late or doubled like everything else.
-    void returnLoans(std::size_t index)
-    {
-        Instance& instance = this->instances[index];
-        if (this->chance(0.005)) {
-            instance.level = instance.bucket[0].advance(this->now, instance.level);
-            ShareBucket unreturned = instance.bucket[0];
-            std::int64_t before = instance.level;
-            auto returned
-                = instance.bucket[0].giveBack(static_cast<std::uint64_t>(this->pick(0, 200000)), instance.level);
-            if (this->mutation == Mutation::BorrowerKeepsWhatItReturns) {
-                instance.bucket[0] = unreturned;
-                instance.level = before;
-            }
-            for (const ShareLoan& loan : returned) {
-                if (this->chance(0.1))
-                    continue;
-                for (int copy = this->chance(0.2) ? 2 : 1; copy; --copy)
-                    this->returns.push_back(
-                        { this->now + milliseconds(this->chance(0.1) ? this->pick(500, 3000) : this->pick(1, 40)),
-                            instance.lenders[loan.id], index, 0, this->now, loan });
-            }
-        }
-        for (std::size_t i = 0; i < this->returns.size();) {
-            Message message = this->returns[i];
-            if (message.lender != index || message.at > this->now) {
-                ++i;
-                continue;
-            }
-            this->returns.erase(this->returns.begin() + static_cast<std::ptrdiff_t>(i));
+            TimePoint from = this->mutation == Mutation::ReceiverCountsFromArrival ? this->now : message.askedAt;
             instance.level = instance.bucket[0].advance(this->now, instance.level);
-            instance.level = instance.bucket[0].takeBack(message.loan.id, message.loan.milliTokens, instance.level);
+            instance.level = instance.bucket[0].receive(from, this->now, message.grant, instance.level);
         }
     }
 
@@ -231,8 +211,6 @@
     std::deque<Message> requests;
     std::deque<Message> replies;
     std::uint64_t lastId = 0;
-    std::uint64_t lastLoan = 0;
-    std::deque<Message> returns;
 };
 
 // Largest excess of any window over rate * time + burst, in requests. Negative if every window has room.
@@ -269,20 +247,22 @@
     RC_ASSERT(worstExcess(admitted, rate, burst) <= 0);
 }
 
-TEST(ShareBucket, CheckSeesALenderThatKeepsItsUnits) { EXPECT_TRUE(someSeedExceeds(Mutation::LenderKeepsUnits)); }
+TEST(ShareBucket, CheckSeesAHolderThatKeepsWhatItGrants) { EXPECT_TRUE(someSeedExceeds(Mutation::HolderKeepsTokens)); }
 
-TEST(ShareBucket, CheckSeesABorrowerThatCountsFromTheArrival)
+TEST(ShareBucket, CheckSeesAHolderThatRefillsTheRoomOfWhatIsOut)
 {
-    EXPECT_TRUE(someSeedExceeds(Mutation::BorrowerCountsFromArrival));
+    EXPECT_TRUE(someSeedExceeds(Mutation::HolderRefillsTheRoom));
 }
 
-TEST(ShareBucket, CheckSeesDoubledLoans) { EXPECT_TRUE(someSeedExceeds(Mutation::DoubledLoansAreTaken)); }
-
-TEST(ShareBucket, CheckSeesABorrowerThatKeepsWhatItReturns)
+TEST(ShareBucket, CheckSeesAReceiverThatCountsFromTheArrival)
 {
-    EXPECT_TRUE(someSeedExceeds(Mutation::BorrowerKeepsWhatItReturns));
+    EXPECT_TRUE(someSeedExceeds(Mutation::ReceiverCountsFromArrival));
 }
 
+TEST(ShareBucket, CheckSeesDoubledGrants) { EXPECT_TRUE(someSeedExceeds(Mutation::DoubledGrantsAreTaken)); }
+
+TEST(ShareBucket, CheckSeesARestartThatKeepsTokens) { EXPECT_TRUE(someSeedExceeds(Mutation::RestartKeepsTokens)); }
+
 namespace {
 
 // A holder is paused with a full bucket past its lease, another takes over all slots and spends a whole burst, and the
@@ -347,3 +327,41 @@
     level = bucket.advance(start + milliseconds(5000), level);
     EXPECT_EQ(bucket.setRate(50, 3, level), 3 * milliPerToken);
 }
+
+TEST(ShareBucket, ReceivedTokensEndUnspentAndOwnOnesStay)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 100, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    TimePoint askedAt = start + milliseconds(200);
+    level = bucket.advance(askedAt, level);
+    level = bucket.receive(askedAt, askedAt, { 3 * milliPerToken, milliseconds(60) }, level);
+    EXPECT_EQ(level, 23 * milliPerToken);
+    // One of the three is spent, two end, and six accrue.
+    level = bucket.advance(askedAt + milliseconds(60), level - milliPerToken);
+    EXPECT_EQ(level, 26 * milliPerToken);
+}
+
+TEST(ShareBucket, AHolderKeepsWhatIsReservedAndPassesNothingOn)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 100, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    TimePoint now = start + milliseconds(200);
+    level = bucket.advance(now, level);
+    level = bucket.receive(now, now, { 3 * milliPerToken, milliseconds(60) }, level);
+    auto grant = bucket.grant(now, 50 * milliPerToken, milliPerToken, level);
+    EXPECT_EQ(grant.milliTokens, 19 * milliPerToken);
+    EXPECT_EQ(level, 4 * milliPerToken);
+}
+
+TEST(ShareBucket, AtMostHalfOfTheBurstIsOutAtOnce)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 20, start);
+    std::int64_t level = bucket.setHome(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    TimePoint now = start + milliseconds(1000);
+    level = bucket.advance(now, level);
+    EXPECT_EQ(bucket.grant(now, 20 * milliPerToken, 0, level).milliTokens, 10 * milliPerToken);
+    EXPECT_EQ(bucket.grant(now, 20 * milliPerToken, 0, level).milliTokens, 0);
+}
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -18,25 +18,23 @@
     constexpr Milliseconds refillInterval { 10 };
     // Longest wait of a request for a token, and between two looks.
     constexpr Milliseconds longestWait { 150 };
-    constexpr Milliseconds waitStep { 5 };
-    // Requests of one workspace that may wait here at once.
-    constexpr std::uint32_t mostWaiting = 256;
-    // A loan that ends within this time is already replaced.
-    constexpr Milliseconds renewAhead { 150 };
-    // Least time between two requests to the same lender, and after one that had nothing to spare.
-    constexpr Milliseconds askInterval { 60 };
-    constexpr Milliseconds askAgainAfterNothing { 200 };
-    // Lenders that are asked at once.
-    constexpr std::size_t mostAsked = 3;
+    constexpr Milliseconds waitStep { 4 };
+    // Requests of one workspace that may wait here while tokens may still come from elsewhere.
+    constexpr std::uint32_t mostWaiting = 64;
+    // What an instance asks for beyond what it lacks now: its demand of this time.
+    constexpr double prefetchSeconds = 0.05;
+    // An answer that takes longer counts as lost.
+    constexpr Milliseconds answerTimeout { 60 };
+    // A holder without a token to spare is asked again after this time.
+    constexpr Milliseconds askAgainAfterNothing { 100 };
+    // Holders that are asked at once.
+    constexpr std::size_t mostAsked = 2;
     // Requests a second below which a workspace counts as idle here.
     constexpr double idleDemand = 0.01;
     constexpr double demandTimeConstantSeconds = 0.3;
-    // A borrower holds this many times what its demand takes.
-    constexpr double borrowMargin = 1.1;
-    // It gives back what is over this many times its demand.
-    constexpr double surplusMargin = 1.3;
+    // A holder keeps what its own demand takes in this time.
+    constexpr double reservedSeconds = 0.1;
     constexpr Milliseconds reportInterval { 2000 };
-    constexpr std::size_t mostKnownLenders = 256;
 
 } // namespace
 
@@ -62,10 +60,11 @@
     double demand = 0;
     std::uint64_t arrivalsSeen = 0;
     TimePoint measuredAt;
+    // Requests without an answer, by the holder's name.
     std::map<std::string, Asked> asked;
+    // Holders that had nothing to spare, and when they are asked again.
     std::map<std::string, TimePoint> askAgainAt;
-    // Address of the lender of each loan that is held.
-    std::map<std::uint64_t, std::string> lenders;
+    // The place in `shareSlots` of the holder that is asked first.
     std::size_t turn = 0;
     TimePoint reportedAt;
     std::uint64_t admittedReported = 0;
@@ -92,7 +91,7 @@
     , link(std::move(link))
     , membership(std::move(membership))
     , slotsValidUntil(Clock::now())
-    , nextLoanId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
+    , nextRequestId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
 {
 }
 
@@ -111,7 +110,10 @@
         co_return tl::expected<void, Refusal> {};
     }
     TimePoint end = std::min(deadline, Clock::now() + longestWait);
-    bool mayWait = ++purse->waiting <= mostWaiting;
+    // More than this would wait in vain.
+    bool mayWait = ++purse->waiting <= purse->waitingRoom;
+    if (mayWait)
+        asio::post(this->control, [self, workspace] { self->serveShortage(workspace); });
     bool taken = false;
     while (mayWait && !taken && Clock::now() < end) {
         asio::steady_timer timer(this->requests, waitStep);
@@ -126,6 +128,14 @@
     co_return tl::expected<void, Refusal> {};
 }
 
+void Admission::refund(const std::string& workspace)
+{
+    auto current = this->purses.read();
+    auto found = current->find(workspace);
+    if (found != current->end())
+        found->second->level += milliPerToken;
+}
+
 // Applies a change to the bucket and the level together, although requests take tokens meanwhile.
 template <typename Change> void Admission::change(Account& account, TimePoint now, Change change)
 {
@@ -163,7 +173,7 @@
         }
         next[name] = account->purse;
     }
-    // The account of a deleted workspace stays: units that it lent must not be counted anew if the workspace comes
+    // The account of a deleted workspace stays: tokens that it granted must not be counted anew if the workspace comes
     // back.
     if (next != *this->purses.read())
         this->purses.replace(next);
@@ -210,8 +220,7 @@
             if (idle && !ending)
                 continue;
             this->refill(*account, now);
-            this->giveBackSurplus(name, *account, now);
-            this->borrowFor(name, *account, now);
+            this->askForTokens(name, *account, now);
             this->reportRefusals(name, *account, now);
         }
     }
@@ -247,94 +256,76 @@
     account.measuredAt = now;
 }
 
-// A session that has roamed elsewhere needs there what it left here.
-void Admission::giveBackSurplus(const std::string& workspace, Account& account, TimePoint now)
+// A request waits for a token.
+void Admission::serveShortage(const std::string& workspace)
 {
-    std::uint64_t needed = account.bucket.unitsFor(account.demand * surplusMargin);
-    std::vector<ShareLoan> returned;
-    this->change(account, now, [&](ShareBucket& bucket, std::int64_t level) {
-        returned = bucket.giveBack(needed, level);
-        return level;
-    });
-    for (const ShareLoan& loan : returned) {
-        wire::Envelope envelope;
-        wire::LoanReturn& message = *envelope.mutable_loan_return();
-        message.set_workspace(workspace);
-        message.set_loan(loan.id);
-        message.set_tokens_milli(static_cast<std::uint64_t>(std::max<std::int64_t>(loan.milliTokens, 0)));
-        this->link->send(account.lenders[loan.id], envelope);
-        account.lenders.erase(loan.id);
-    }
-    // Lenders of loans that ended on their own are forgotten in time.
-    if (account.lenders.size() > mostKnownLenders)
-        account.lenders.erase(account.lenders.begin());
+    auto found = this->accounts.find(workspace);
+    if (found == this->accounts.end())
+        return;
+    TimePoint now = Clock::now();
+    this->refill(*found->second, now);
+    this->askForTokens(workspace, *found->second, now);
 }
 
-void Admission::borrowFor(const std::string& workspace, Account& account, TimePoint now)
+// Asks holders for the tokens that the waiting requests lack. Who may wait follows from whether some can still come.
+void Admission::askForTokens(const std::string& workspace, Account& account, TimePoint now)
 {
-    // Without this an idle instance would renew its last loan for ever.
-    if (account.demand < idleDemand)
-        return;
-    std::uint64_t have = account.bucket.unitsAt(now + renewAhead);
-    // Enough for the demand, and for at least one token's burst.
-    std::uint64_t wanted = account.bucket.unitsFor(account.demand * borrowMargin);
-    bool empty = account.purse->level.load() < milliPerToken;
-    std::uint64_t forOneToken = unitsPerWorkspace / account.workspace.burst + 1;
-    if (empty)
-        wanted = std::max(wanted, have + 2 * forOneToken);
-    if (wanted <= have)
-        return;
-    std::uint64_t missing = std::min(wanted - have, unitsPerWorkspace);
-    std::size_t askedNow = 0;
-    for (std::size_t i = 0; i < account.shareSlots.size() && askedNow < mostAsked; ++i) {
-        std::uint32_t slot = account.shareSlots[(account.turn + i) % account.shareSlots.size()];
+    std::erase_if(account.asked, [now](const auto& item) { return now - item.second.at > answerTimeout; });
+    auto waiting = static_cast<std::int64_t>(account.purse->waiting.load());
+    std::int64_t level = account.purse->level.load();
+    std::size_t slotCountHere = account.shareSlots.size();
+    bool someMayCome = !account.asked.empty();
+    for (std::size_t i = 0; i < slotCountHere; ++i) {
+        std::uint32_t slot = account.shareSlots[(account.turn + i) % slotCountHere];
         const InstanceRecord* holder = this->membership->holderOf(slot);
         if (!holder || holder->name == this->membership->self().name || account.askAgainAt[holder->name] > now)
             continue;
+        someMayCome = true;
+        std::int64_t missing = waiting * milliPerToken - level;
+        if (missing <= 0 || account.asked.size() >= mostAsked)
+            break;
+        if (account.asked.count(holder->name))
+            continue;
+        auto ahead = static_cast<std::int64_t>(account.demand * prefetchSeconds * milliPerToken);
         wire::Envelope envelope;
-        wire::LoanRequest& request = *envelope.mutable_loan_request();
-        request.set_id(++this->nextLoanId);
+        wire::TokenRequest& request = *envelope.mutable_token_request();
+        request.set_id(++this->nextRequestId);
         request.set_workspace(workspace);
-        request.set_wanted_units(missing);
-        request.set_duration_ms(static_cast<std::uint32_t>(loanDuration.count()));
-        account.asked[holder->name] = { this->nextLoanId, now };
-        account.askAgainAt[holder->name] = now + askInterval;
+        request.set_wanted_milli(static_cast<std::uint64_t>(missing + ahead));
+        account.asked[holder->name] = { this->nextRequestId, now };
         this->link->send(holder->address, envelope);
-        ++askedNow;
     }
-    ++account.turn;
+    double accrued = account.bucket.accrualRate() * std::chrono::duration<double>(longestWait).count();
+    account.purse->waitingRoom = someMayCome ? mostWaiting : 1 + static_cast<std::uint32_t>(accrued);
 }
 
-void Admission::receiveLoanRequest(const std::string& sender, const wire::LoanRequest& request)
+void Admission::receiveTokenRequest(const std::string& sender, const wire::TokenRequest& request)
 {
     auto found = this->accounts.find(request.workspace());
-    Milliseconds duration(std::min<std::int64_t>(request.duration_ms(), loanDuration.count()));
-    std::optional<ShareLoan> loan;
+    TokenGrant grant;
     if (found != this->accounts.end()) {
         Account& account = *found->second;
         TimePoint now = Clock::now();
-        std::uint64_t id = ++this->nextLoanId;
         this->refill(account, now);
+        auto wanted = static_cast<std::int64_t>(request.wanted_milli());
+        auto reserved = static_cast<std::int64_t>(account.demand * reservedSeconds * milliPerToken)
+            + account.purse->waiting.load() * milliPerToken;
         this->change(account, now, [&](ShareBucket& bucket, std::int64_t level) {
-            loan = bucket.lend(id, now, request.wanted_units(), duration, account.demand, level);
+            grant = bucket.grant(now, wanted, reserved, level);
             return level;
         });
     }
     wire::Envelope envelope;
-    wire::LoanReply& reply = *envelope.mutable_loan_reply();
+    wire::TokenReply& reply = *envelope.mutable_token_reply();
     reply.set_id(request.id());
     reply.set_workspace(request.workspace());
-    if (loan) {
-        reply.set_loan(loan->id);
-        reply.set_units(loan->units);
-        reply.set_tokens_milli(static_cast<std::uint64_t>(loan->milliTokens));
-        reply.set_duration_ms(static_cast<std::uint32_t>(loan->duration.count()));
-    }
-    // The lender has debited before it sends; what is lost on the way is lost, never doubled.
+    reply.set_tokens_milli(static_cast<std::uint64_t>(grant.milliTokens));
+    reply.set_duration_ms(static_cast<std::uint32_t>(grant.duration.count()));
+    // The holder has debited before it sends; what is lost on the way is lost, never doubled.
     this->link->send(sender, envelope);
 }
 
-void Admission::receiveLoanReply(const std::string& sender, const wire::LoanReply& reply)
+void Admission::receiveTokenReply(const std::string& /*sender*/, const wire::TokenReply& reply)
 {
     auto found = this->accounts.find(reply.workspace());
     if (found == this->accounts.end())
@@ -346,27 +337,17 @@
     if (asked == account.asked.end())
         return;
     TimePoint now = Clock::now();
-    if (!reply.units())
-        account.askAgainAt[asked->first] = now + askAgainAfterNothing;
-    ShareLoan loan { reply.loan(), reply.units(), static_cast<std::int64_t>(reply.tokens_milli()),
-        Milliseconds(reply.duration_ms()) };
     TimePoint askedAt = asked->second.at;
+    if (reply.tokens_milli() < milliPerToken) {
+        account.askAgainAt[asked->first] = now + askAgainAfterNothing;
+        ++account.turn;
+    }
     account.asked.erase(asked);
-    if (!loan.units)
-        return;
-    account.lenders[loan.id] = sender;
+    TokenGrant grant { static_cast<std::int64_t>(reply.tokens_milli()), Milliseconds(reply.duration_ms()) };
     this->change(account, now,
-        [&](ShareBucket& bucket, std::int64_t level) { return bucket.borrow(askedAt, now, loan, level); });
-}
-
-void Admission::receiveLoanReturn(const wire::LoanReturn& message)
-{
-    auto found = this->accounts.find(message.workspace());
-    if (found == this->accounts.end())
-        return;
-    this->change(*found->second, Clock::now(), [&](ShareBucket& bucket, std::int64_t level) {
-        return bucket.takeBack(message.loan(), static_cast<std::int64_t>(message.tokens_milli()), level);
-    });
+        [&](ShareBucket& bucket, std::int64_t level) { return bucket.receive(askedAt, now, grant, level); });
+    if (account.purse->waiting.load())
+        this->askForTokens(reply.workspace(), account, now);
 }
 
 } // namespace catkinlock
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -63,7 +63,7 @@
     void askGateways(const std::string& database);
     void answerGateway(const std::string& sender, const std::string& database);
     bool isRelay() const;
-    std::size_t fleetSize() const;
+    std::vector<std::string> fleet() const;
     asio::awaitable<void> keepHouse();
     asio::awaitable<void> readInstanceList();
     asio::awaitable<void> leave();
@@ -144,7 +144,7 @@
         SlotKeeper::Options { this->settings.slots, this->settings.slotLeaseSeconds, this->settings.name,
             this->membership->self().address },
         SlotKeeper::Hooks { [this](const auto& held, TimePoint until) { this->slotsChanged(held, until); },
-            [this] { return this->fleetSize(); },
+            [this] { return this->fleet(); },
             [this](std::uint32_t slot) {
                 const InstanceRecord* holder = this->membership->holderOf(slot);
                 return holder && holder->name != this->settings.name;
@@ -202,12 +202,10 @@
         return this->gossip->answerMembershipRequest(sender);
     case wire::Envelope::kMembershipUpdate:
         return this->gossip->receiveMembershipUpdate(envelope.membership_update());
-    case wire::Envelope::kLoanRequest:
-        return this->admission->receiveLoanRequest(sender, envelope.loan_request());
-    case wire::Envelope::kLoanReply:
-        return this->admission->receiveLoanReply(sender, envelope.loan_reply());
-    case wire::Envelope::kLoanReturn:
-        return this->admission->receiveLoanReturn(envelope.loan_return());
+    case wire::Envelope::kTokenRequest:
+        return this->admission->receiveTokenRequest(sender, envelope.token_request());
+    case wire::Envelope::kTokenReply:
+        return this->admission->receiveTokenReply(sender, envelope.token_reply());
     case wire::Envelope::kTableRequest: {
         wire::Envelope answer;
         *answer.mutable_table_update() = this->config->answer(envelope.table_request());
@@ -223,6 +221,8 @@
     case wire::Envelope::kViewQuery:
     case wire::Envelope::kViewNote:
     case wire::Envelope::kPrimaryNote:
+    case wire::Envelope::kChangesRequest:
+    case wire::Envelope::kChangesReply:
         // Between instances that serve sessions.
     case wire::Envelope::BODY_NOT_SET:
         // A later release's message; this one has no use for it.
@@ -258,12 +258,14 @@
     return false;
 }
 
-std::size_t Instance::Parts::fleetSize() const
+std::vector<std::string> Instance::Parts::fleet() const
 {
-    std::size_t size = 1;
-    for (const InstanceRecord& peer : this->membership->peers())
-        size += peer.state == InstanceState::Live;
-    return size;
+    std::vector<std::string> names { this->settings.name };
+    for (const InstanceRecord& peer : this->membership->peers()) {
+        if (peer.state == InstanceState::Live)
+            names.push_back(peer.name);
+    }
+    return names;
 }
 
 void Instance::Parts::tablesChanged(const Tables& newTables)
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -2,7 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
-#include "libserver/admission.h"
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -21,10 +21,12 @@
     constexpr int leaseMarginDivisor = 20;
     // The lease is renewed after this part of it.
     constexpr int renewDivisor = 3;
-    // A slot's loans are over this long after its last use, and only then is it given back.
+    // What a slot stands for may be in use this much longer, and only then is it given back.
     constexpr Milliseconds releaseDelay { 2500 };
     constexpr Milliseconds firstClaimPause { 500 };
     constexpr Milliseconds longestClaimPause { 30000 };
+    // The instances that may claim a slot double with each round, this many times; after that all may.
+    constexpr unsigned mostDoublings = 10;
 
     // True if a slot's value names this instance at this address. Nobody else can listen there.
     bool isHeldBy(const std::string& text, const std::string& instance, const std::string& peerAddress)
@@ -60,10 +62,19 @@
 
 std::size_t SlotKeeper::fairShare() const
 {
-    std::size_t fleet = std::max<std::size_t>(this->hooks.fleetSize(), 1);
+    std::size_t fleet = std::max<std::size_t>(this->hooks.fleet().size(), 1);
     return (this->options.slotCount + fleet - 1) / fleet;
 }
 
+// Instances that go before this one in the order of those for a slot. Without the order a large fleet would race for
+// each slot, and all but one would have asked the store in vain.
+std::size_t SlotKeeper::rankFor(std::uint32_t slot, const std::vector<std::string>& fleet) const
+{
+    std::uint64_t own = stableHash(this->options.instance, slot);
+    return static_cast<std::size_t>(std::count_if(
+        fleet.begin(), fleet.end(), [own, slot](const std::string& name) { return stableHash(name, slot) < own; }));
+}
+
 void SlotKeeper::announce() { this->hooks.changed(this->slots, this->validUntil); }
 
 void SlotKeeper::dropIfOver()
@@ -82,13 +93,12 @@
     asio::steady_timer timer(this->context);
     Milliseconds claimPause = firstClaimPause;
     TimePoint claimAt = Clock::now() + learningTime;
-    TimePoint takeOverAt = Clock::now() + loanDuration;
     bool tookOver = false;
     while (!this->leaving) {
         this->dropIfOver();
         if (Clock::now() >= this->renewAt && !co_await this->renew())
             this->renewAt = Clock::now() + claimPause;
-        if (!tookOver && this->lease && Clock::now() >= takeOverAt) {
+        if (!tookOver && this->lease) {
             tookOver = co_await this->readSlots();
             co_await this->takeOver();
         }
@@ -97,7 +107,8 @@
             std::size_t before = this->slots.size();
             co_await this->claimMissing();
             bool gained = this->slots.size() > before;
-            claimPause = gained ? firstClaimPause : std::min(claimPause * 2, longestClaimPause);
+            bool inOrder = this->rounds < mostDoublings;
+            claimPause = gained || inOrder ? firstClaimPause : std::min(claimPause * 2, longestClaimPause);
             claimAt = Clock::now() + claimPause;
         }
         if (this->slots.size() > this->fairShare())
@@ -138,14 +149,23 @@
 
 asio::awaitable<void> SlotKeeper::claimMissing()
 {
+    std::size_t wanted = this->fairShare();
+    std::vector<std::string> fleet = this->hooks.fleet();
+    std::size_t mostRank = this->rounds < mostDoublings ? (std::size_t { 1 } << this->rounds) - 1 : fleet.size();
+    ++this->rounds;
+    std::vector<std::uint32_t> free;
+    for (std::uint32_t slot = 0; slot < this->options.slotCount; ++slot) {
+        if (!this->slots.count(slot) && !this->hooks.isTaken(slot) && this->rankFor(slot, fleet) <= mostRank)
+            free.push_back(slot);
+    }
+    if (free.empty())
+        co_return;
     if (!this->slotsRead && !co_await this->readSlots())
         co_return;
     co_await this->takeOver();
-    // Each instance starts elsewhere, so that they seldom want the same slot.
-    std::uint32_t first = static_cast<std::uint32_t>(stableHash(this->options.instance) % this->options.slotCount);
-    std::size_t wanted = this->fairShare();
-    for (std::uint32_t i = 0; i < this->options.slotCount && this->slots.size() < wanted && !this->leaving; ++i) {
-        std::uint32_t slot = (first + i) % this->options.slotCount;
+    for (std::uint32_t slot : free) {
+        if (this->slots.size() >= wanted || this->leaving)
+            break;
         if (this->slots.count(slot) || this->takenByOthers.count(slot) || this->hooks.isTaken(slot))
             continue;
         if (!co_await this->claim(slot, 0))
@@ -158,7 +178,7 @@
     this->announce();
 }
 
-// An earlier start on this address has ended, and its loans with it, so its slots are this one's.
+// An earlier start on this address has ended, so its slots are this one's.
 asio::awaitable<void> SlotKeeper::takeOver()
 {
     for (auto [slot, revision] : std::exchange(this->leftBehind, {})) {
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace catkinlock {
 
@@ -28,8 +29,8 @@
     struct Hooks {
         /// The slots or the end of the lease have changed.
         std::function<void(const std::set<std::uint32_t>&, TimePoint validUntil)> changed;
-        /// Instances that share the slots, this one included.
-        std::function<std::size_t()> fleetSize;
+        /// Names of the instances that share the slots, this one included.
+        std::function<std::vector<std::string>()> fleet;
         /// True if some other instance is known to hold the slot.
         std::function<bool(std::uint32_t)> isTaken;
     };
@@ -51,6 +52,7 @@
     boost::asio::awaitable<void> releaseSurplus();
     boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
     std::size_t fairShare() const;
+    std::size_t rankFor(std::uint32_t slot, const std::vector<std::string>& fleet) const;
     std::string keyOf(std::uint32_t slot) const;
     void dropIfOver();
     void announce();
@@ -68,6 +70,8 @@
     TimePoint renewAt;
     bool leaving = false;
     bool slotsRead = false;
+    // Claims so far; each lets instances claim that come later in the order for a slot.
+    unsigned rounds = 0;
 };
 
 } // namespace catkinlock
--- a/src/libsession/fleet_view.cpp
+++ b/src/libsession/fleet_view.cpp
@@ -2,6 +2,14 @@
 
 namespace catkinlock {
 
+std::vector<std::string> FleetView::instanceNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, address] : this->instances)
+        names.push_back(name);
+    return names;
+}
+
 std::vector<TargetRecord> FleetView::membersOf(const std::string& service) const
 {
     std::vector<TargetRecord> members;
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -25,6 +25,8 @@
     /// Peer address of every registered instance, by name.
     std::map<std::string, std::string> instances;
 
+    /// Names of all registered instances.
+    std::vector<std::string> instanceNames() const;
     /// Members of a service, by id.
     std::vector<TargetRecord> membersOf(const std::string& service) const;
     /// The member to be used as primary; nothing while it is being replaced or unknown.
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -141,7 +141,7 @@
                                this->admission->updateSlots(held, until, this->settings.slots);
                                this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
                            },
-            [this] { return std::max<std::size_t>(this->view->read()->instances.size(), 1); },
+            [this] { return this->view->read()->instanceNames(); },
             [this](std::uint32_t slot) {
                 const InstanceRecord* holder = this->membership->holderOf(slot);
                 return holder && holder->name != this->settings.name;
@@ -209,12 +209,10 @@
 {
     const std::string& sender = envelope.sender();
     switch (envelope.body_case()) {
-    case wire::Envelope::kLoanRequest:
-        return this->admission->receiveLoanRequest(sender, envelope.loan_request());
-    case wire::Envelope::kLoanReply:
-        return this->admission->receiveLoanReply(sender, envelope.loan_reply());
-    case wire::Envelope::kLoanReturn:
-        return this->admission->receiveLoanReturn(envelope.loan_return());
+    case wire::Envelope::kTokenRequest:
+        return this->admission->receiveTokenRequest(sender, envelope.token_request());
+    case wire::Envelope::kTokenReply:
+        return this->admission->receiveTokenReply(sender, envelope.token_reply());
     case wire::Envelope::kPrimaryNote:
         return this->promoter->receivePrimaryNote(sender, envelope.primary_note());
     case wire::Envelope::kViewNote:
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -224,7 +224,8 @@
         this->record(statement, refusal, {});
         co_return refusal;
     }
-    if (this->runner.startsOperation(statement) && call->workspace != "-") {
+    bool starts = this->runner.startsOperation(statement) && call->workspace != "-";
+    if (starts) {
         auto admitted = co_await this->context->admission->admit(call->workspace, call->deadline);
         if (!admitted) {
             TargetReply refusal;
@@ -234,7 +235,11 @@
             co_return refusal;
         }
     }
+    if (starts)
+        this->runner.beginOperation();
+    this->mayRefund = this->mayRefund || starts;
     TargetReply reply = co_await this->runner.run(statement, *call);
+    this->refundUnrun(*call, reply);
     if (this->runner.state() == TransactionState::Idle)
         this->transactionRoute.reset();
     else if (!this->transactionRoute)
@@ -243,6 +248,15 @@
     co_return reply;
 }
 
+// A workspace's rate is for what runs. An operation of which nothing ran gives its token back, once.
+void Session::refundUnrun(const StatementCall& call, const TargetReply& reply)
+{
+    if (this->mayRefund && reply.error && !this->runner.mayHaveRun())
+        this->context->admission->refund(call.workspace);
+    bool over = reply.error || this->runner.mayHaveRun() || this->runner.state() == TransactionState::Idle;
+    this->mayRefund = this->mayRefund && !over;
+}
+
 void Session::record(const SessionStatement& statement, const TargetReply& reply, const StatementCall& call) const
 {
     TimePoint now = Clock::now();
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -35,6 +35,7 @@
     boost::asio::awaitable<TargetReply> answer(SessionStatement);
     tl::expected<StatementCall, TargetReply> admitCall() const;
     void watchIdleTransaction();
+    void refundUnrun(const StatementCall&, const TargetReply&);
     void record(const SessionStatement&, const TargetReply&, const StatementCall&) const;
 
     std::unique_ptr<Socket> socket;
@@ -46,6 +47,8 @@
     // Route of the open transaction; changes apply from the next one on.
     std::optional<Route> transactionRoute;
     std::string received;
+    // The operation under way has taken a token and has run nothing yet.
+    bool mayRefund = false;
     bool waiting = false;
     bool ending = false;
 };
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -255,6 +255,7 @@
     bool wrote = this->writes(statement) || (statement.kind == StatementKind::Commit && this->transaction.wrote);
     auto reply = co_await link->send(statement, placement.after, preparedName, timeout);
     TimePoint now = Clock::now();
+    this->ranSomething = this->ranSomething || !reply || !reply->error || !isNotRun(*reply->error);
     if (!reply) {
         pool->noteFailure(wrote, now);
         result.fate = Try::Fate::Lost;
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -45,6 +45,9 @@
     /// The member that the last statement went to, for logs.
     const std::string& lastMember() const { return this->member; }
     unsigned lastTries() const { return this->tries; }
+    /// True if a member ran, or may have run, something of the operation that began last.
+    bool mayHaveRun() const { return this->ranSomething; }
+    void beginOperation() { this->ranSomething = false; }
 
 private:
     // How one try on one member ended.
@@ -99,6 +102,7 @@
     Transaction transaction;
     std::string member;
     unsigned tries = 0;
+    bool ranSomething = false;
 };
 
 } // namespace catkinlock
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -17,6 +17,7 @@
     // A statement waits no longer than this for one that is in use.
     constexpr Milliseconds openAnywayAfter { 40 };
     constexpr Milliseconds idleLifetime { 30000 };
+    constexpr Milliseconds surplusIdleLifetime { 2000 };
     // Several times its share is what a busy instance may hold while others are idle.
     constexpr std::size_t mostShares = 3;
     constexpr Milliseconds pressedTime { 500 };
@@ -55,7 +56,11 @@
 
 void TargetPool::setTarget(const TargetRecord& next) { this->record = next; }
 
-void TargetPool::setShare(std::size_t connections) { this->share = std::max<std::size_t>(connections, 1); }
+void TargetPool::setShare(std::size_t connections)
+{
+    this->share = std::max<std::size_t>(connections, 1);
+    this->mostIdle = connections / 2;
+}
 
 std::size_t TargetPool::limit() const
 {
@@ -232,7 +237,7 @@
         }
     }
     this->idle.push_back({ std::move(link), Clock::now() });
-    while (this->opened > this->share && !this->idle.empty())
+    while (!this->idle.empty() && this->opened > this->share)
         this->dropOldestIdle();
     this->serveNext();
 }
@@ -283,8 +288,12 @@
 
 void TargetPool::closeIdle(TimePoint now)
 {
-    while (!this->idle.empty() && now - this->idle.front().since > idleLifetime)
+    while (!this->idle.empty()) {
+        bool surplus = this->idle.size() > this->mostIdle;
+        if (now - this->idle.front().since < (surplus ? surplusIdleLifetime : idleLifetime))
+            break;
         this->dropOldestIdle();
+    }
 }
 
 void TargetPool::closeAll()
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -58,7 +58,9 @@
     void noteLagging(const Position& floor, const Position& had, TimePoint now);
     /// True while it is not worth asking the member for data at `floor`.
     bool seemsBehind(const Position& floor, TimePoint now) const;
-    /// `share`: connections that every instance may keep. A busy one opens more until the member refuses.
+    /// `connections`: those that every instance may have open, 0 if there are more instances than connections. A busy
+    /// one opens more until the member refuses. Half of them are kept while idle, and more for a moment only, so that
+    /// there is room to open new ones while the member still counts those of instances that lost their power.
     void setShare(std::size_t connections);
     void setTarget(const TargetRecord&);
     /// Closes what has been idle for long.
@@ -98,6 +100,7 @@
     std::shared_ptr<const TargetProtocol> protocol;
     TargetRecord record;
     std::size_t share = 1;
+    std::size_t mostIdle = 1;
     // Until then only the share is used, because the member has refused more.
     TimePoint pressedUntil;
     // Connections that are open or being opened.
