A few instances of each data centre watch the store, the others follow them

Change: instances pass on the changes that they saw, with the age of their confirmation, over the peers' link; a follower that gets no answer, or one from an instance that lost the store, asks the next one and at last the store. One that the store turns away follows others until it is back. Ruled out: longer watches at each instance (the age of the view bounds how long a withdrawn key works).

--- a/src/libsession/fleet_view.cpp
+++ b/src/libsession/fleet_view.cpp
@@ -5,7 +5,7 @@
 std::vector<std::string> FleetView::instanceNames() const
 {
     std::vector<std::string> names;
-    for (const auto& [name, address] : this->instances)
+    for (const auto& [name, instance] : this->instances)
         names.push_back(name);
     return names;
 }
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -12,6 +12,15 @@
 
 namespace catkinlock {
 
+/// An instance that has registered itself.
+struct RegisteredInstance {
+    /// Where the others reach it, "ip:port".
+    std::string peerAddress;
+    std::string dataCentre;
+
+    bool operator==(const RegisteredInstance&) const = default;
+};
+
 /// An immutable picture of what the metadata store holds, for the request path.
 struct FleetView {
     /// Counts the views of this process; two with the same number are the same.
@@ -22,8 +31,8 @@
     TargetDirectory targets;
     /// What the fleet agreed on, by service.
     std::map<std::string, GroupRecord> groups;
-    /// Peer address of every registered instance, by name.
-    std::map<std::string, std::string> instances;
+    /// All registered instances, by name.
+    std::map<std::string, RegisteredInstance> instances;
 
     /// Names of all registered instances.
     std::vector<std::string> instanceNames() const;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -11,6 +11,7 @@
 #include "libsession/page_server.h"
 #include "libsession/promoter.h"
 #include "libsession/registration.h"
+#include "libsession/relay_choice.h"
 #include "libsession/session_context.h"
 #include "libsession/session_front.h"
 #include "libsession/slot_directory.h"
@@ -18,6 +19,7 @@
 #include "libsession/store_mirror.h"
 #include "libsession/target_groups.h"
 #include "libsession/view_builder.h"
+#include "libsession/view_relay.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
 #include <csignal>
@@ -52,6 +54,7 @@
     void start();
     void storeChanged();
     void publishView();
+    RelayPlan relayPlan() const;
     void handleMessage(const wire::Envelope&);
     bool isReady() const;
     Page readyPage(const std::string& path) const;
@@ -74,6 +77,7 @@
     std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<RcuSnapshot<FleetView>> view = std::make_shared<RcuSnapshot<FleetView>>();
     ViewBuilder builder;
+    std::shared_ptr<ViewRelay> relay;
     std::shared_ptr<StoreMirror> mirror;
     std::shared_ptr<Membership> membership;
     std::shared_ptr<PeerLink> link;
@@ -100,8 +104,9 @@
     , builder(this->platform.documents)
 {
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
-    this->mirror = std::make_shared<StoreMirror>(
-        this->control, this->platform.store, this->freshness, [this] { this->storeChanged(); });
+    this->relay = std::make_shared<ViewRelay>(this->control, this->link, this->freshness);
+    this->mirror = std::make_shared<StoreMirror>(this->control, this->platform.store, this->relay, this->freshness,
+        StoreMirror::Hooks { [this] { this->storeChanged(); }, [this] { return this->relayPlan(); } });
     auto executor = this->requests.get_executor();
     this->sessions->executor = executor;
     this->sessions->protocol = this->platform.callers;
@@ -133,8 +138,8 @@
     this->admission
         = std::make_shared<Admission>(this->control, this->requests.get_executor(), this->link, this->membership);
     this->sessions->admission = this->admission;
-    this->registration = std::make_shared<Registration>(
-        this->control, this->platform.store, this->settings.name, peerAddress, this->settings.leaseSeconds);
+    this->registration = std::make_shared<Registration>(this->control, this->platform.store, this->settings.name,
+        RegisteredInstance { peerAddress, this->settings.dataCentre }, this->settings.leaseSeconds);
     this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform.store,
         SlotKeeper::Options { this->settings.slots, this->settings.leaseSeconds, this->settings.name, peerAddress },
         SlotKeeper::Hooks { [this](const auto& held, TimePoint until) {
@@ -205,6 +210,16 @@
     }
 }
 
+// Where this instance asks for changes of the store; addresses in place of names.
+RelayPlan FrontInstance::Parts::relayPlan() const
+{
+    auto current = this->view->read();
+    RelayPlan plan = planRelays(*current, this->settings.name);
+    for (std::string& relay : plan.relays)
+        relay = current->instances.at(relay).peerAddress;
+    return plan;
+}
+
 void FrontInstance::Parts::handleMessage(const wire::Envelope& envelope)
 {
     const std::string& sender = envelope.sender();
@@ -217,6 +232,10 @@
         return this->promoter->receivePrimaryNote(sender, envelope.primary_note());
     case wire::Envelope::kViewNote:
         return this->promoter->receiveViewNote(sender, envelope.view_note());
+    case wire::Envelope::kChangesRequest:
+        return this->relay->receiveRequest(sender, envelope.changes_request());
+    case wire::Envelope::kChangesReply:
+        return this->relay->receiveReply(envelope.changes_reply());
     case wire::Envelope::kViewQuery: {
         wire::Envelope answer;
         answer.mutable_view_note()->set_revision(this->mirror->revision());
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -139,8 +139,8 @@
 void Promoter::askOthers(const std::string& service, const std::string& primary, bool asks)
 {
     auto view = this->parts.view->read();
-    for (const auto& [name, address] : view->instances) {
-        if (name == this->parts.instance || address.empty())
+    for (const auto& [name, instance] : view->instances) {
+        if (name == this->parts.instance || instance.peerAddress.empty())
             continue;
         wire::Envelope envelope;
         wire::PrimaryNote& note = *envelope.mutable_primary_note();
@@ -148,7 +148,7 @@
         note.set_primary(primary);
         note.set_suspects(true);
         note.set_asks(asks);
-        this->parts.link->send(address, envelope);
+        this->parts.link->send(instance.peerAddress, envelope);
     }
 }
 
@@ -190,7 +190,7 @@
     auto view = this->parts.view->read();
     std::uint64_t own = stableHash(this->parts.instance, stableHash(service));
     std::size_t rank = 0;
-    for (const auto& [name, address] : view->instances)
+    for (const auto& [name, instance] : view->instances)
         rank += stableHash(name, stableHash(service)) < own;
     co_await this->pause(rankDelay * static_cast<int>(std::min(rank, mostRanks)));
     auto later = this->parts.view->read();
@@ -391,13 +391,13 @@
     while (Clock::now() < lapsed) {
         auto view = this->parts.view->read();
         bool all = true;
-        for (const auto& [name, address] : view->instances) {
-            if (name == this->parts.instance || this->viewsSeen[address] >= revision)
+        for (const auto& [name, instance] : view->instances) {
+            if (name == this->parts.instance || this->viewsSeen[instance.peerAddress] >= revision)
                 continue;
             all = false;
             wire::Envelope envelope;
             envelope.mutable_view_query()->set_revision(revision);
-            this->parts.link->send(address, envelope);
+            this->parts.link->send(instance.peerAddress, envelope);
         }
         if (all)
             co_return;
--- a/src/libsession/registration.cpp
+++ b/src/libsession/registration.cpp
@@ -20,11 +20,11 @@
 } // namespace
 
 Registration::Registration(asio::io_context& context, std::shared_ptr<MetadataStore> store, std::string name,
-    std::string peerAddress, std::uint32_t leaseSeconds)
+    RegisteredInstance self, std::uint32_t leaseSeconds)
     : context(context)
     , store(std::move(store))
     , key(instancePrefix + name)
-    , value(json::serialize(json::object { { "peer", peerAddress } }))
+    , value(json::serialize(json::object { { "peer", self.peerAddress }, { "data_centre", self.dataCentre } }))
     , leaseSeconds(leaseSeconds)
 {
 }
--- a/src/libsession/registration.h
+++ b/src/libsession/registration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinlock/metadata_store.h"
+#include "libsession/fleet_view.h"
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
@@ -11,7 +12,7 @@
 /// they change what it relies on. On the control thread.
 class Registration : public std::enable_shared_from_this<Registration> {
 public:
-    Registration(boost::asio::io_context&, std::shared_ptr<MetadataStore>, std::string name, std::string peerAddress,
+    Registration(boost::asio::io_context&, std::shared_ptr<MetadataStore>, std::string name, RegisteredInstance,
         std::uint32_t leaseSeconds);
 
     void start();
--- /dev/null
+++ b/src/libsession/relay_test.cpp
@@ -0,0 +1,165 @@
+// How changes of the metadata store reach instances that do not ask it themselves.
+
+#include "catkinlock/peer_link.h"
+#include "libsession/change_log.h"
+#include "libsession/relay_choice.h"
+#include "libsession/view_freshness.h"
+#include "libsession/view_relay.h"
+#include "peer.pb.h"
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <set>
+
+using namespace catkinlock;
+
+namespace {
+
+constexpr const char* secret = "a-secret-of-the-test";
+
+FleetView fleetOf(std::size_t instances, std::size_t dataCentres)
+{
+    FleetView view;
+    for (std::size_t i = 0; i < instances; ++i) {
+        std::string name = "entry-" + std::to_string(i);
+        view.instances[name] = { name + ":1", "dc-" + std::to_string(i % dataCentres) };
+    }
+    return view;
+}
+
+std::size_t instancesThatAskTheStore(const FleetView& view)
+{
+    std::size_t asking = 0;
+    for (const auto& [name, instance] : view.instances)
+        asking += planRelays(view, name).asksStore;
+    return asking;
+}
+
+KeyValue change(std::int64_t revision) { return { "key-" + std::to_string(revision % 5), "value", revision, false }; }
+
+// An instance with a link of its own.
+struct Peer {
+    explicit Peer(boost::asio::io_context& context)
+        : link(std::make_shared<PeerLink>(context, secret))
+        , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
+        , relay(std::make_shared<ViewRelay>(context, this->link, this->freshness))
+    {
+        this->address = this->link->bind("127.0.0.1:0");
+        this->link->start([this](const wire::Envelope& envelope) {
+            if (envelope.has_changes_request())
+                this->relay->receiveRequest(envelope.sender(), envelope.changes_request());
+            if (envelope.has_changes_reply())
+                this->relay->receiveReply(envelope.changes_reply());
+        });
+    }
+    std::shared_ptr<PeerLink> link;
+    std::shared_ptr<ViewFreshness> freshness;
+    std::shared_ptr<ViewRelay> relay;
+    std::string address;
+};
+
+std::optional<RelayedChanges> askOnce(
+    boost::asio::io_context& context, Peer& follower, const std::string& address, std::int64_t after, Milliseconds wait)
+{
+    std::optional<RelayedChanges> answer;
+    boost::asio::co_spawn(
+        context,
+        [&]() -> boost::asio::awaitable<void> {
+            answer = co_await follower.relay->ask(address, after, wait);
+            context.stop();
+        },
+        boost::asio::detached);
+    context.restart();
+    context.run();
+    return answer;
+}
+
+} // namespace
+
+RC_GTEST_PROP(ChangeLog, TellsEveryChangeAfterARevisionOrNothing, ())
+{
+    auto start = *rc::gen::inRange<std::int64_t>(1, 50);
+    auto sizes = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+    ChangeLog log;
+    log.restart(start);
+    std::int64_t revision = start;
+    for (int size : sizes) {
+        std::vector<KeyValue> batch;
+        for (int i = 0; i < size; ++i)
+            batch.push_back(change(++revision));
+        log.append(batch, revision);
+    }
+    auto after = *rc::gen::inRange<std::int64_t>(0, revision + 2);
+    auto told = log.since(after);
+    if (!told)
+        RC_ASSERT(after < start || revision - after > 2000);
+    else
+        RC_ASSERT(static_cast<std::int64_t>(told->size()) == std::max<std::int64_t>(revision - after, 0));
+}
+
+TEST(ChangeLog, KnowsNothingOfBeforeItsStart)
+{
+    ChangeLog log;
+    log.restart(10);
+    log.append({ change(11) }, 12);
+    EXPECT_FALSE(log.since(9));
+    EXPECT_EQ(log.since(10)->size(), 1u);
+    EXPECT_EQ(log.since(12)->size(), 0u);
+    EXPECT_EQ(log.revision(), 12);
+}
+
+TEST(RelayChoice, AFewOfEachDataCentreAskTheStore)
+{
+    EXPECT_EQ(instancesThatAskTheStore(fleetOf(13, 3)), 3u);
+    EXPECT_EQ(instancesThatAskTheStore(fleetOf(144, 4)), 8u);
+    EXPECT_EQ(instancesThatAskTheStore(fleetOf(1, 1)), 1u);
+}
+
+TEST(RelayChoice, FollowersPreferTheirDataCentreAndSpread)
+{
+    FleetView view = fleetOf(144, 4);
+    std::map<std::string, int> followers;
+    for (const auto& [name, instance] : view.instances) {
+        RelayPlan plan = planRelays(view, name);
+        if (plan.asksStore)
+            continue;
+        const auto& relays = plan.relays;
+        EXPECT_EQ(view.instances.at(relays.front()).dataCentre, instance.dataCentre);
+        EXPECT_EQ(relays.size(), 8u);
+        ++followers[relays.front()];
+    }
+    EXPECT_EQ(followers.size(), 8u);
+    for (const auto& [relay, count] : followers)
+        EXPECT_LT(count, 30);
+}
+
+TEST(ViewRelay, AConfirmationCarriesItsAge)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    TimePoint now = Clock::now();
+    relay.freshness->confirm(now - Milliseconds(900));
+    relay.relay->restart(10);
+    relay.relay->append({ 11, { change(11) }, false });
+    auto answer = askOnce(context, follower, relay.address, 10, Milliseconds(0));
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->changes.revision, 11);
+    EXPECT_EQ(answer->changes.changes, std::vector<KeyValue> { change(11) });
+    // Never later than the relay's own confirmation.
+    EXPECT_LE(answer->confirmedAt, now - Milliseconds(900));
+}
+
+TEST(ViewRelay, OneThatLostTheStoreSendsItsFollowersElsewhere)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    relay.freshness->confirm(Clock::now() - Milliseconds(3000));
+    relay.relay->restart(10);
+    EXPECT_FALSE(askOnce(context, follower, relay.address, 10, Milliseconds(1000)));
+    relay.freshness->confirm(Clock::now());
+    // Its memory does not reach back as far.
+    EXPECT_FALSE(askOnce(context, follower, relay.address, 9, Milliseconds(0)));
+    EXPECT_TRUE(askOnce(context, follower, relay.address, 10, Milliseconds(0)));
+}
--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -30,8 +30,8 @@
 std::vector<InstanceRecord> holdersOfSlots(const std::map<std::string, KeyValue>& values, const FleetView& view)
 {
     std::map<std::string, InstanceRecord> records;
-    for (const auto& [name, address] : view.instances)
-        records[name] = { name, address, "", 1, view.serial, InstanceState::Live, {} };
+    for (const auto& [name, instance] : view.instances)
+        records[name] = { name, instance.peerAddress, instance.dataCentre, 1, view.serial, InstanceState::Live, {} };
     std::string prefix = slotPrefix;
     for (auto it = values.lower_bound(prefix); it != values.end() && it->first.starts_with(prefix); ++it) {
         InstanceRecord holder;
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -2,6 +2,8 @@
 
 #include "catkinlock/log.h"
 #include "libsession/spawn.h"
+#include "libsession/view_freshness.h"
+#include "libsession/view_relay.h"
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 
@@ -12,7 +14,14 @@
 namespace {
 
     // An answer without changes confirms the copy as of the question, so this bounds how old a confirmed view gets.
-    constexpr Milliseconds pollWait { 1500 };
+    constexpr Milliseconds pollWait { 1000 };
+    // A relay answers sooner, when its own copy is confirmed.
+    constexpr Milliseconds relayWait { 1200 };
+    // A follower whose view is older than this asks for an answer at once.
+    constexpr Milliseconds hurryAfter { 1800 };
+    constexpr Milliseconds avoidRelayFor { 3000 };
+    constexpr unsigned failuresUntilAvoided = 2;
+    constexpr Milliseconds avoidStoreFor { 1000 };
     // A store that was lost is asked for an answer at once.
     constexpr Milliseconds probeWait { 1 };
     constexpr Milliseconds gatherTime { 60 };
@@ -23,11 +32,12 @@
 } // namespace
 
 StoreMirror::StoreMirror(asio::io_context& context, std::shared_ptr<PolledStore> store,
-    std::shared_ptr<ViewFreshness> freshness, std::function<void()> changed)
+    std::shared_ptr<ViewRelay> relay, std::shared_ptr<ViewFreshness> freshness, Hooks hooks)
     : context(context)
     , store(std::move(store))
     , freshness(std::move(freshness))
-    , changed(std::move(changed))
+    , relay(std::move(relay))
+    , hooks(std::move(hooks))
 {
 }
 
@@ -55,6 +65,9 @@
                 { "view_age_ms", fmt::format("{}", this->freshness->age(Clock::now()).count()) } });
     Milliseconds pause = std::min(firstPause * (1 << std::min(this->failures, mostDoublings)), longestPause);
     ++this->failures;
+    // Others may reach it meanwhile.
+    if (this->failures >= failuresUntilAvoided)
+        this->storeAvoidedUntil = Clock::now() + avoidStoreFor;
     asio::steady_timer timer(this->context, pause);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
@@ -81,9 +94,10 @@
     this->copy = std::move(next);
     this->seen = range->revision;
     this->freshness->confirm(askedAt);
+    this->relay->restart(this->seen);
     writeLog(LogLevel::Info, "store_read",
         { { "revision", fmt::format("{}", this->seen) }, { "keys", fmt::format("{}", this->copy.size()) } });
-    this->changed();
+    this->hooks.changed();
     co_return true;
 }
 
@@ -98,8 +112,48 @@
         this->copy[change.key] = change;
 }
 
+// The relay to ask now; empty if the store is to be asked.
+std::string StoreMirror::relayToFollow(TimePoint now) const
+{
+    RelayPlan plan = this->hooks.plan();
+    if (plan.asksStore && now >= this->storeAvoidedUntil)
+        return "";
+    for (const std::string& address : plan.relays) {
+        auto avoided = this->avoidedUntil.find(address);
+        if (avoided == this->avoidedUntil.end() || avoided->second <= now)
+            return address;
+    }
+    return "";
+}
+
 // False if the copy has to be read afresh.
 asio::awaitable<bool> StoreMirror::poll()
+{
+    std::string address = this->relayToFollow(Clock::now());
+    if (address.empty())
+        co_return co_await this->pollStore();
+    bool followed = co_await this->followRelay(address);
+    if (!followed) {
+        this->avoidedUntil[address] = Clock::now() + avoidRelayFor;
+        writeLog(LogLevel::Info, "relay_lost",
+            { { "relay", address }, { "view_age_ms", fmt::format("{}", this->freshness->age(Clock::now()).count()) } });
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> StoreMirror::followRelay(std::string address)
+{
+    bool hurry = this->freshness->age(Clock::now()) > hurryAfter;
+    auto answer = co_await this->relay->ask(address, this->seen, hurry ? Milliseconds(0) : relayWait);
+    if (!answer)
+        co_return false;
+    bool news = this->takeIn(answer->changes, answer->confirmedAt);
+    if (news || hurry)
+        co_await this->gather();
+    co_return true;
+}
+
+asio::awaitable<bool> StoreMirror::pollStore()
 {
     TimePoint askedAt = Clock::now();
     auto answer = co_await this->store->changesAfter("", this->seen, this->failures ? probeWait : pollWait);
@@ -112,17 +166,30 @@
         writeLog(LogLevel::Warning, "store_history_lost", { { "revision", fmt::format("{}", this->seen) } });
         co_return false;
     }
-    for (const KeyValue& change : answer->changes)
+    if (this->takeIn(*answer, askedAt))
+        co_await this->gather();
+    co_return true;
+}
+
+// True if there was a change.
+bool StoreMirror::takeIn(const KeyChanges& answer, TimePoint confirmedAt)
+{
+    for (const KeyValue& change : answer.changes)
         this->apply(change);
-    this->seen = std::max(this->seen, answer->revision);
-    this->freshness->confirm(askedAt);
-    if (answer->changes.empty())
-        co_return true;
-    this->changed();
-    // Changes often come together; each call would bring one of them.
+    this->seen = std::max(this->seen, answer.revision);
+    this->freshness->confirm(confirmedAt);
+    this->relay->append(answer);
+    if (answer.changes.empty())
+        return false;
+    this->hooks.changed();
+    return true;
+}
+
+// Changes often come together; each call would bring one of them.
+asio::awaitable<void> StoreMirror::gather()
+{
     asio::steady_timer timer(this->context, gatherTime);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    co_return true;
 }
 
 } // namespace catkinlock
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -19,13 +19,20 @@
             visit(it->first.substr(prefix.size()), it->second);
     }
 
-    std::string peerAddressOf(const std::string& text)
+    std::string textOf(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        return value && value->is_string() ? json::value_to<std::string>(*value) : "";
+    }
+
+    RegisteredInstance parseInstance(const std::string& text)
     {
         json::error_code error;
         json::value value = json::parse(text, error);
         const json::object* object = error ? nullptr : value.if_object();
-        const json::value* peer = object ? object->if_contains("peer") : nullptr;
-        return peer && peer->is_string() ? json::value_to<std::string>(*peer) : "";
+        if (!object)
+            return {};
+        return { textOf(*object, "peer"), textOf(*object, "data_centre") };
     }
 
 } // namespace
@@ -90,7 +97,7 @@
         view.groups[service] = record.value_or(unreadable);
     });
     forEachUnder(values, instancePrefix,
-        [&](const std::string& name, const KeyValue& entry) { view.instances[name] = peerAddressOf(entry.value); });
+        [&](const std::string& name, const KeyValue& entry) { view.instances[name] = parseInstance(entry.value); });
     return view;
 }
 
