--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -27,8 +27,8 @@
     constexpr Milliseconds answerTimeout { 60 };
     // A holder without a token to spare is asked again after this time.
     constexpr Milliseconds askAgainAfterNothing { 100 };
-    // Holders that are asked at once.
-    constexpr std::size_t mostAsked = 2;
+    // One that did not answer is left alone for this time.
+    constexpr Milliseconds askAgainAfterSilence { 1000 };
     // Requests a second below which a workspace counts as idle here.
     constexpr double idleDemand = 0.01;
     constexpr double demandTimeConstantSeconds = 0.3;
@@ -50,6 +50,7 @@
     struct Asked {
         std::uint64_t id;
         TimePoint at;
+        std::int64_t milliTokens;
     };
 
     Workspace workspace;
@@ -270,9 +271,16 @@
 // Asks holders for the tokens that the waiting requests lack. Who may wait follows from whether some can still come.
 void Admission::askForTokens(const std::string& workspace, Account& account, TimePoint now)
 {
-    std::erase_if(account.asked, [now](const auto& item) { return now - item.second.at > answerTimeout; });
-    auto waiting = static_cast<std::int64_t>(account.purse->waiting.load());
-    std::int64_t level = account.purse->level.load();
+    std::erase_if(account.asked, [&account, now](const auto& item) {
+        bool silent = now - item.second.at > answerTimeout;
+        if (silent)
+            account.askAgainAt[item.first] = now + askAgainAfterSilence;
+        return silent;
+    });
+    std::int64_t missing = account.purse->waiting.load() * milliPerToken - account.purse->level.load();
+    // Two holders asked for the same tokens would both grant them, and half would end unspent.
+    for (const auto& [name, request] : account.asked)
+        missing -= request.milliTokens;
     std::size_t slotCountHere = account.shareSlots.size();
     bool someMayCome = !account.asked.empty();
     for (std::size_t i = 0; i < slotCountHere; ++i) {
@@ -281,19 +289,19 @@
         if (!holder || holder->name == this->membership->self().name || account.askAgainAt[holder->name] > now)
             continue;
         someMayCome = true;
-        std::int64_t missing = waiting * milliPerToken - level;
-        if (missing <= 0 || account.asked.size() >= mostAsked)
+        if (missing <= 0)
             break;
         if (account.asked.count(holder->name))
             continue;
-        auto ahead = static_cast<std::int64_t>(account.demand * prefetchSeconds * milliPerToken);
+        missing += static_cast<std::int64_t>(account.demand * prefetchSeconds * milliPerToken);
         wire::Envelope envelope;
         wire::TokenRequest& request = *envelope.mutable_token_request();
         request.set_id(++this->nextRequestId);
         request.set_workspace(workspace);
-        request.set_wanted_milli(static_cast<std::uint64_t>(missing + ahead));
-        account.asked[holder->name] = { this->nextRequestId, now };
+        request.set_wanted_milli(static_cast<std::uint64_t>(missing));
+        account.asked[holder->name] = { this->nextRequestId, now, missing };
         this->link->send(holder->address, envelope);
+        missing = 0;
     }
     double accrued = account.bucket.accrualRate() * std::chrono::duration<double>(longestWait).count();
     account.purse->waitingRoom = someMayCome ? mostWaiting : 1 + static_cast<std::uint32_t>(accrued);
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -144,7 +144,7 @@
         SlotKeeper::Options { this->settings.slots, this->settings.slotLeaseSeconds, this->settings.name,
             this->membership->self().address },
         SlotKeeper::Hooks { [this](const auto& held, TimePoint until) { this->slotsChanged(held, until); },
-            [this] { return this->fleet(); },
+            [this] { return this->fleet(); }, [] { return true; },
             [this](std::uint32_t slot) {
                 const InstanceRecord* holder = this->membership->holderOf(slot);
                 return holder && holder->name != this->settings.name;
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr Milliseconds keepInterval { 150 };
+    constexpr Milliseconds startInterval { 20 };
     // Time to learn of the other instances before the first claim. One that claims alone has to give most of it back,
     // and each change of hands costs the fleet a round of gossip.
     constexpr Milliseconds learningTime { 1200 };
@@ -96,13 +97,11 @@
     bool tookOver = false;
     while (!this->leaving) {
         this->dropIfOver();
-        if (Clock::now() >= this->renewAt && !co_await this->renew())
+        if (this->lease && Clock::now() >= this->renewAt && !co_await this->renew())
             this->renewAt = Clock::now() + claimPause;
-        if (!tookOver && this->lease) {
-            tookOver = co_await this->readSlots();
-            co_await this->takeOver();
-        }
-        bool missing = this->lease && this->slots.size() < this->fairShare();
+        if (!tookOver)
+            tookOver = co_await this->takeOverAtStart();
+        bool missing = tookOver && this->slots.size() < this->fairShare();
         if (missing && Clock::now() >= claimAt) {
             std::size_t before = this->slots.size();
             co_await this->claimMissing();
@@ -113,11 +112,35 @@
         }
         if (this->slots.size() > this->fairShare())
             co_await this->releaseSurplus();
-        timer.expires_after(keepInterval);
+        timer.expires_after(tookOver ? keepInterval : startInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
 
+// Instances without slots hold no lease.
+asio::awaitable<bool> SlotKeeper::ensureLease()
+{
+    if (this->lease)
+        co_return true;
+    co_return co_await this->renew();
+}
+
+// Takes the slots that an earlier start held. True once that is settled.
+asio::awaitable<bool> SlotKeeper::takeOverAtStart()
+{
+    auto mayHave = this->hooks.mayHaveLeftSlots();
+    if (!mayHave)
+        co_return false;
+    if (!*mayHave)
+        co_return true;
+    if (!co_await this->ensureLease())
+        co_return false;
+    if (!co_await this->readSlots())
+        co_return false;
+    co_await this->takeOver();
+    co_return true;
+}
+
 asio::awaitable<bool> SlotKeeper::renew()
 {
     TimePoint askedAt = Clock::now();
@@ -160,6 +183,8 @@
     }
     if (free.empty())
         co_return;
+    if (!co_await this->ensureLease())
+        co_return;
     if (!this->slotsRead && !co_await this->readSlots())
         co_return;
     co_await this->takeOver();
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,6 +32,8 @@
         std::function<void(const std::set<std::uint32_t>&, TimePoint validUntil)> changed;
         /// Names of the instances that share the slots, this one included.
         std::function<std::vector<std::string>()> fleet;
+        /// Whether an earlier start of this instance may have left slots; nothing while that can't be told yet.
+        std::function<std::optional<bool>()> mayHaveLeftSlots;
         /// True if some other instance is known to hold the slot.
         std::function<bool(std::uint32_t)> isTaken;
     };
@@ -45,6 +48,8 @@
 private:
     boost::asio::awaitable<void> keep();
     boost::asio::awaitable<bool> renew();
+    boost::asio::awaitable<bool> ensureLease();
+    boost::asio::awaitable<bool> takeOverAtStart();
     boost::asio::awaitable<void> claimMissing();
     boost::asio::awaitable<bool> claim(std::uint32_t slot, std::int64_t expected);
     boost::asio::awaitable<bool> readSlots();
--- a/src/libsession/change_log.cpp
+++ b/src/libsession/change_log.cpp
@@ -1,6 +1,8 @@
 #include "libsession/change_log.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace catkinlock {
 
@@ -40,9 +42,14 @@
 {
     if (after < this->first)
         return std::nullopt;
-    auto from = std::find_if(this->changes.begin(), this->changes.end(),
-        [after](const KeyValue& change) { return change.revision > after; });
-    return std::vector<KeyValue>(from, this->changes.end());
+    std::vector<KeyValue> found;
+    std::set<std::string_view> told;
+    for (auto it = this->changes.rbegin(); it != this->changes.rend() && it->revision > after; ++it) {
+        if (told.insert(it->key).second)
+            found.push_back(*it);
+    }
+    std::reverse(found.begin(), found.end());
+    return found;
 }
 
 } // namespace catkinlock
--- a/src/libsession/change_log.h
+++ b/src/libsession/change_log.h
@@ -14,8 +14,8 @@
     void restart(std::int64_t revision);
     /// Changes in order that lead up to `revision`.
     void append(const std::vector<KeyValue>&, std::int64_t revision);
-    /// Every change after `after`; nothing if the log does not reach back as far. Empty for a revision that is not
-    /// reached yet.
+    /// The last change of each key that changed after `after`, in order; nothing if the log does not reach back as far.
+    /// Empty for a revision that is not reached yet.
     std::optional<std::vector<KeyValue>> since(std::int64_t after) const;
     /// Every change up to here is known.
     std::int64_t revision() const { return this->last; }
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -147,6 +147,11 @@
                                this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
                            },
             [this] { return this->view->read()->instanceNames(); },
+            [this]() -> std::optional<bool> {
+                if (!this->mirror->isLoaded())
+                    return std::nullopt;
+                return !slotsListedFor(this->mirror->values(), this->settings.name).empty();
+            },
             [this](std::uint32_t slot) {
                 const InstanceRecord* holder = this->membership->holderOf(slot);
                 return holder && holder->name != this->settings.name;
@@ -184,8 +189,13 @@
 void FrontInstance::Parts::storeChanged()
 {
     this->publishView();
-    for (const InstanceRecord& record : holdersOfSlots(this->mirror->values(), *this->view->read()))
-        this->membership->apply(record, Clock::now());
+    TimePoint now = Clock::now();
+    auto current = this->view->read();
+    auto holders = holdersOfSlots(this->mirror->values(), *current);
+    for (InstanceRecord& gone : recordsOfVanished(this->membership->peers(), holders, current->serial))
+        this->membership->apply(gone, now);
+    for (const InstanceRecord& record : holders)
+        this->membership->apply(record, now);
 }
 
 void FrontInstance::Parts::publishView()
@@ -297,6 +307,8 @@
     writeLog(LogLevel::Info, "traffic",
         { { "peer_bytes", kinds }, { "store_calls", fmt::format("{}", this->platform.store->calls()) },
             { "log_lines_dropped", fmt::format("{}", logLinesDropped()) },
+            { "done_lines_left_out", fmt::format("{}", this->sessions->doneLines.omitted()) },
+            { "failed_lines_left_out", fmt::format("{}", this->sessions->failedLines.omitted()) },
             { "sessions", fmt::format("{}", this->sessions->sessions.load()) } });
 }
 
--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -1,5 +1,8 @@
+#include "catkinlock/line_budget.h"
 #include "libsession/member_choice.h"
 #include "libsession/position_window.h"
+#include "libsession/target_pool.h"
+#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -41,6 +44,40 @@
         RC_ASSERT(at >= bound || number <= position->lsn);
 }
 
+TEST(PositionWindow, TellsHowFarALogIsBehind)
+{
+    PositionWindow window;
+    window.note({ 1, 10 }, start);
+    window.note({ 1, 12 }, start + Milliseconds(100));
+    window.note({ 1, 15 }, start + Milliseconds(200));
+    TimePoint now = start + Milliseconds(1000);
+    EXPECT_EQ(window.lagOf({ 1, 15 }, now), Duration(0));
+    EXPECT_EQ(window.lagOf({ 1, 12 }, now), Milliseconds(800));
+    EXPECT_EQ(window.lagOf({ 1, 3 }, now), Milliseconds(1000));
+}
+
+// Reads of several ages go to one member: what it can't serve for its lag is not sent to it for a while, the rest is.
+TEST(TargetPool, IsLeftOutOnlyForReadsThatItsLagForbids)
+{
+    boost::asio::io_context context;
+    TargetPool pool(context.get_executor(), nullptr, {});
+    pool.noteLag(Milliseconds(2000), start);
+    EXPECT_TRUE(pool.lagsBeyond(Milliseconds(1500), start + Milliseconds(100)));
+    EXPECT_FALSE(pool.lagsBeyond(Milliseconds(2500), start + Milliseconds(100)));
+    EXPECT_FALSE(pool.lagsBeyond(Milliseconds(1500), start + Milliseconds(400)));
+}
+
+TEST(LineBudget, BoundsTheLinesOfASecondAndCountsTheRest)
+{
+    LineBudget budget(10);
+    int taken = 0;
+    for (int i = 0; i < 2000; ++i)
+        taken += budget.take(start + Milliseconds(i));
+    EXPECT_GE(taken, 28);
+    EXPECT_LE(taken, 30);
+    EXPECT_EQ(budget.omitted(), 2000u - static_cast<unsigned>(taken));
+}
+
 TEST(MemberChoice, PrefersAReadyConnectionAndAFreeMember)
 {
     MemberLoad busy;
--- a/src/libsession/position_window.cpp
+++ b/src/libsession/position_window.cpp
@@ -30,4 +30,13 @@
     return std::nullopt;
 }
 
+Duration PositionWindow::lagOf(const Position& position, TimePoint now) const
+{
+    for (const Sample& sample : this->samples) {
+        if (sample.position > position)
+            return now - sample.askedAt;
+    }
+    return Duration(0);
+}
+
 } // namespace catkinlock
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -8,6 +8,7 @@
 #include "libsession/target_link.h"
 #include "libsession/view_builder.h"
 #include "peer.pb.h"
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 
@@ -26,6 +27,7 @@
     constexpr Milliseconds leadPause { 80 };
     constexpr Milliseconds askInterval { 250 };
     constexpr Milliseconds opinionLifetime { 1000 };
+    constexpr std::size_t mostAskedPeers = 16;
     constexpr Milliseconds reachedWithin { 800 };
     // Least time between two tries of one instance, and what instances of lower rank wait for those before them.
     constexpr Milliseconds retryPause { 500 };
@@ -139,16 +141,22 @@
 void Promoter::askOthers(const std::string& service, const std::string& primary, bool asks)
 {
     auto view = this->parts.view->read();
+    std::vector<std::string> addresses;
     for (const auto& [name, instance] : view->instances) {
-        if (name == this->parts.instance || instance.peerAddress.empty())
-            continue;
+        if (name != this->parts.instance && !instance.peerAddress.empty())
+            addresses.push_back(instance.peerAddress);
+    }
+    // A sample says enough, and a large fleet that suspects together would send the square of its size.
+    std::shuffle(addresses.begin(), addresses.end(), this->random);
+    addresses.resize(std::min(addresses.size(), mostAskedPeers));
+    for (const std::string& address : addresses) {
         wire::Envelope envelope;
         wire::PrimaryNote& note = *envelope.mutable_primary_note();
         note.set_service(service);
         note.set_primary(primary);
         note.set_suspects(true);
         note.set_asks(asks);
-        this->parts.link->send(instance.peerAddress, envelope);
+        this->parts.link->send(address, envelope);
     }
 }
 
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
@@ -116,6 +117,7 @@
     std::map<std::string, std::shared_ptr<TargetLink>> links;
     std::uint64_t promotionCount = 0;
     bool stopped = false;
+    std::minstd_rand random { std::random_device {}() };
 };
 
 } // namespace catkinlock
--- a/src/libsession/registration.cpp
+++ b/src/libsession/registration.cpp
@@ -42,12 +42,15 @@
             co_return false;
         this->lease = *granted;
     }
-    // An earlier start of this instance may have left its entry.
-    auto found = co_await this->store->read(this->key);
-    if (!found)
-        co_return false;
-    std::int64_t revision = *found ? (*found)->revision : 0;
-    auto swapped = co_await this->store->swap(this->key, revision, this->value, this->lease);
+    auto swapped = co_await this->store->swap(this->key, 0, this->value, this->lease);
+    if (swapped && !swapped->swapped) {
+        // An earlier start of this instance has left its entry, or an answer was lost.
+        auto found = co_await this->store->read(this->key);
+        if (!found)
+            co_return false;
+        std::int64_t revision = *found ? (*found)->revision : 0;
+        swapped = co_await this->store->swap(this->key, revision, this->value, this->lease);
+    }
     if (!swapped) {
         writeLog(LogLevel::Warning, "registration_failed", { { "reason", swapped.error().message } });
         co_return false;
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/peer_link.h"
 #include "libsession/change_log.h"
 #include "libsession/relay_choice.h"
+#include "libsession/slot_directory.h"
 #include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
@@ -76,6 +77,7 @@
 
 } // namespace
 
+// A follower that applies what it is told has what the store has, or is told that it has to read the store.
 RC_GTEST_PROP(ChangeLog, TellsEveryChangeAfterARevisionOrNothing, ())
 {
     auto start = *rc::gen::inRange<std::int64_t>(1, 50);
@@ -93,8 +95,20 @@
     auto told = log.since(after);
     if (!told)
         RC_ASSERT(after < start || revision - after > 2000);
-    else
-        RC_ASSERT(static_cast<std::int64_t>(told->size()) == std::max<std::int64_t>(revision - after, 0));
+    else {
+        std::map<std::string, std::int64_t> expected;
+        for (std::int64_t later = after + 1; later <= revision; ++later)
+            expected[change(later).key] = later;
+        std::map<std::string, std::int64_t> found;
+        std::int64_t last = 0;
+        for (const KeyValue& item : *told) {
+            RC_ASSERT(item.revision > last);
+            last = item.revision;
+            found[item.key] = item.revision;
+        }
+        RC_ASSERT(found == expected);
+        RC_ASSERT(found.size() == told->size());
+    }
 }
 
 TEST(ChangeLog, KnowsNothingOfBeforeItsStart)
@@ -133,6 +147,28 @@
         EXPECT_LT(count, 30);
 }
 
+TEST(SlotDirectory, WhatAVanishedInstanceHeldIsFree)
+{
+    FleetView view = fleetOf(2, 1);
+    view.serial = 1;
+    std::map<std::string, KeyValue> values;
+    values["/catkinlock/slot/00003"]
+        = { "/catkinlock/slot/00003", R"({"instance": "entry-1", "peer": "entry-1:1"})", 1, false };
+    Membership membership({ "entry-0", "entry-0:1", "dc-0", 1, 1, InstanceState::Live, {} });
+    TimePoint now = Clock::now();
+    for (const InstanceRecord& record : holdersOfSlots(values, view))
+        membership.apply(record, now);
+    ASSERT_NE(membership.holderOf(3), nullptr);
+    EXPECT_EQ(slotsListedFor(values, "entry-1"), std::vector<std::uint32_t> { 3 });
+    view.instances.erase("entry-1");
+    view.serial = 2;
+    values.clear();
+    auto holders = holdersOfSlots(values, view);
+    for (const InstanceRecord& gone : recordsOfVanished(membership.peers(), holders, view.serial))
+        membership.apply(gone, now);
+    EXPECT_EQ(membership.holderOf(3), nullptr);
+}
+
 TEST(ViewRelay, AConfirmationCarriesItsAge)
 {
     boost::asio::io_context context;
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -268,13 +268,16 @@
         refusal.code = statementErrorName(*reply.error);
     }
     this->context->level->observe(call.route.name, call.workspace, reply.error ? &refusal : nullptr, took);
-    if (!reply.error)
+    LineBudget& budget = reply.error ? this->context->failedLines : this->context->doneLines;
+    if (!budget.take(now))
         return;
-    writeLog(LogLevel::Warning, "statement_failed",
+    std::string outcome = reply.error ? outcomeName(refusal.outcome) : outcomeName(Outcome::Done);
+    writeLog(reply.error ? LogLevel::Warning : LogLevel::Info, reply.error ? "statement_failed" : "statement_done",
         { { "request", statement.id }, { "database", this->database }, { "workspace", call.workspace },
-            { "outcome", outcomeName(refusal.outcome) }, { "reason", refusal.code }, { "detail", reply.errorText },
+            { "outcome", outcome }, { "reason", refusal.code }, { "detail", reply.errorText },
             { "member", this->runner.lastMember() }, { "tries", fmt::format("{}", this->runner.lastTries()) },
             { "took_ms", fmt::format("{}", std::chrono::duration_cast<Milliseconds>(took).count()) },
+            { "position", fmt::format("{}.{}", reply.position.term, reply.position.lsn) },
             { "configuration", fmt::format("{}", this->context->view->read()->tables->revision) },
             { "view_age_ms", fmt::format("{}", this->context->freshness->age(now).count()) } });
 }
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinlock/clock.h"
+#include "catkinlock/line_budget.h"
 #include "catkinlock/rcu_snapshot.h"
 #include "libsession/fleet_view.h"
 #include <array>
@@ -16,6 +17,9 @@
 class TargetGroups;
 class ViewFreshness;
 
+inline constexpr std::uint32_t doneLinesPerSecond = 50;
+inline constexpr std::uint32_t failedLinesPerSecond = 300;
+
 /// What all sessions of an instance share.
 struct SessionContext {
     boost::asio::any_io_executor executor;
@@ -30,6 +34,10 @@
     std::atomic<std::uint64_t> sessions { 0 };
     std::atomic<std::uint64_t> statements { 0 };
     std::atomic<std::uint64_t> failures { 0 };
+    /// Lines about statements that succeeded go first when there are too many; those about failures have a larger
+    /// budget of their own.
+    LineBudget doneLines { doneLinesPerSecond };
+    LineBudget failedLines { failedLinesPerSecond };
 };
 
 } // namespace catkinlock
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -266,6 +266,7 @@
     bool notRun = result.reply.error && isNotRun(*result.reply.error);
     result.fate = notRun ? Try::Fate::NotRun : Try::Fate::Answered;
     bool done = !result.reply.error;
+    this->context->groups->noteMemberPosition(*pool, result.reply.position, now);
     if (result.reply.error == StatementError::Busy)
         pool->noteBusy();
     if (result.reply.error == StatementError::Lagging) {
--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -1,6 +1,7 @@
 #include "libsession/slot_directory.h"
 
 #include "libserver/slot_keeper.h"
+#include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -50,4 +51,30 @@
     return list;
 }
 
+std::vector<InstanceRecord> recordsOfVanished(
+    const std::vector<InstanceRecord>& known, const std::vector<InstanceRecord>& holders, std::uint64_t version)
+{
+    std::vector<InstanceRecord> vanished;
+    for (InstanceRecord record : known) {
+        bool listed = std::any_of(holders.begin(), holders.end(),
+            [&record](const InstanceRecord& holder) { return holder.name == record.name; });
+        if (listed)
+            continue;
+        record.version = version;
+        record.state = InstanceState::Dead;
+        record.slots.clear();
+        vanished.push_back(std::move(record));
+    }
+    return vanished;
+}
+
+std::vector<std::uint32_t> slotsListedFor(const std::map<std::string, KeyValue>& values, const std::string& instance)
+{
+    for (const InstanceRecord& record : holdersOfSlots(values, {})) {
+        if (record.name == instance)
+            return record.slots;
+    }
+    return {};
+}
+
 } // namespace catkinlock
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -88,7 +88,7 @@
         load.isPrimary = isPrimary;
         load.sameDataCentre = target.dataCentre == this->dataCentre;
         load.wasTried = tried.count(target.id) != 0;
-        load.seemsBehind = !isPrimary && pool->seemsBehind(*floor, now);
+        load.seemsBehind = !isPrimary && (pool->seemsBehind(*floor, now) || pool->lagsBeyond(need.maxAge, now));
         loads.push_back(load);
         pools.push_back(pool);
     }
@@ -104,6 +104,13 @@
     this->windows[service].note(position, askedAt);
 }
 
+void TargetGroups::noteMemberPosition(TargetPool& pool, const Position& position, TimePoint now)
+{
+    auto window = this->windows.find(pool.target().service);
+    if (position.term && window != this->windows.end())
+        pool.noteLag(window->second.lagOf(position, now), now);
+}
+
 void TargetGroups::noteAcknowledged(const std::string& service, const Position& position)
 {
     Position& highest = this->highestAcknowledged[service];
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -58,6 +58,8 @@
 
     /// An answer of a member that was believed to be the primary when it was asked.
     void notePrimaryPosition(const std::string& service, const Position&, TimePoint askedAt);
+    /// A member answered with this position of its log.
+    void noteMemberPosition(TargetPool&, const Position&, TimePoint now);
     /// A commit was acknowledged at this position.
     void noteAcknowledged(const std::string& service, const Position&);
     std::map<std::string, Position> acknowledged() const { return this->highestAcknowledged; }
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -25,6 +25,8 @@
     // A member that lags is asked again after this time, which doubles while it lags.
     constexpr Milliseconds firstBehindPause { 40 };
     constexpr Milliseconds longestBehindPause { 1000 };
+    // A replica that fell behind is asked again after this time.
+    constexpr Milliseconds lagLifetime { 300 };
     constexpr unsigned failuresUntilSuspect = 2;
     // Weight of a new time in the smoothed one.
     constexpr double timeWeight = 0.1;
@@ -267,6 +269,17 @@
     this->behindUntil = now + this->behindPause;
 }
 
+void TargetPool::noteLag(Duration seen, TimePoint now)
+{
+    this->lag = seen;
+    this->lagSeenAt = now;
+}
+
+bool TargetPool::lagsBeyond(Duration maxAge, TimePoint now) const
+{
+    return this->lag >= maxAge && now - this->lagSeenAt < lagLifetime;
+}
+
 bool TargetPool::seemsBehind(const Position& floor, TimePoint now) const
 {
     return now < this->behindUntil && this->position < floor;
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -56,6 +56,10 @@
     void noteFailure(bool lostWrite, TimePoint now);
     /// The member lacked the position `floor` that a read needed.
     void noteLagging(const Position& floor, const Position& had, TimePoint now);
+    /// How far the member's log was behind the primary's just now.
+    void noteLag(Duration lag, TimePoint now);
+    /// True while it is not worth asking the member for data that is no older than `maxAge`.
+    bool lagsBeyond(Duration maxAge, TimePoint now) const;
     /// True while it is not worth asking the member for data at `floor`.
     bool seemsBehind(const Position& floor, TimePoint now) const;
     /// `connections`: those that every instance may have open, 0 if there are more instances than connections. A busy
@@ -116,6 +120,8 @@
     SendWindow window;
     // Connections that rest in an open transaction.
     std::size_t resting = 0;
+    Duration lag { 0 };
+    TimePoint lagSeenAt;
     Position behindFloor;
     TimePoint behindUntil;
     Milliseconds behindPause { 0 };
