--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -21,6 +21,7 @@
     // Several times its share is what a busy instance may hold while others are idle.
     constexpr std::size_t mostShares = 3;
     constexpr Milliseconds pressedTime { 500 };
+    constexpr Milliseconds openAgainAfter { 15 };
     constexpr Milliseconds suspectFor { 1500 };
     // A member that lags is asked again after this time, which doubles while it lags.
     constexpr Milliseconds firstBehindPause { 40 };
@@ -64,10 +65,9 @@
     this->mostIdle = connections / 2;
 }
 
-std::size_t TargetPool::limit() const
-{
-    return Clock::now() < this->pressedUntil ? this->share : this->share * mostShares;
-}
+bool TargetPool::isPressed() const { return Clock::now() < this->pressedUntil; }
+
+std::size_t TargetPool::limit() const { return this->isPressed() ? this->share : this->share * mostShares; }
 
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
 {
@@ -90,6 +90,12 @@
     --this->opened;
 }
 
+void TargetPool::dropIdleBeyond(std::size_t count)
+{
+    while (this->idle.size() > count)
+        this->dropOldestIdle();
+}
+
 std::shared_ptr<TargetPool::Waiter> TargetPool::takeWaiter(const std::string& workspace)
 {
     auto found = std::find_if(this->waiters.begin(), this->waiters.end(),
@@ -139,9 +145,14 @@
     }
     if (!opening.error().refusal)
         this->noteFailure(false, Clock::now());
-    if (opening.error().refusal == StatementError::ConnectionLimit)
-        this->pressedUntil = Clock::now() + pressedTime;
     link->close();
+    if (opening.error().refusal == StatementError::ConnectionLimit) {
+        this->pressedUntil = Clock::now() + pressedTime;
+        this->dropIdleBeyond(0);
+        --this->opened;
+        spawn(this->executor, [self, workspace] { return self->openLater(workspace); });
+        co_return;
+    }
     if (auto waiter = this->takeWaiter(workspace)) {
         waiter->failure = opening.error();
         waiter->timer.cancel();
@@ -149,6 +160,22 @@
     this->releasePlace();
 }
 
+// A member that has too many connections gets room as soon as some instance gives one back.
+asio::awaitable<void> TargetPool::openLater(std::string workspace)
+{
+    auto self = this->shared_from_this();
+    asio::steady_timer timer(this->executor, openAgainAfter);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (this->isWaitedFor(workspace) && this->hasRoom())
+        this->startOpening(workspace);
+}
+
+bool TargetPool::isWaitedFor(const std::string& workspace) const
+{
+    return std::any_of(this->waiters.begin(), this->waiters.end(),
+        [&workspace](const auto& waiter) { return waiter->workspace == workspace; });
+}
+
 asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> TargetPool::borrow(
     std::string workspace, std::uint32_t priority, TimePoint deadline)
 {
@@ -239,6 +266,9 @@
         }
     }
     this->idle.push_back({ std::move(link), Clock::now() });
+    // While others can't connect, nobody keeps a connection that it does not use.
+    if (this->isPressed())
+        this->dropIdleBeyond(0);
     while (!this->idle.empty() && this->opened > this->share)
         this->dropOldestIdle();
     this->serveNext();
@@ -309,11 +339,7 @@
     }
 }
 
-void TargetPool::closeAll()
-{
-    while (!this->idle.empty())
-        this->dropOldestIdle();
-}
+void TargetPool::closeAll() { this->dropIdleBeyond(0); }
 
 MemberLoad TargetPool::load(const std::string& workspace, TimePoint now) const
 {
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -88,6 +88,9 @@
     struct Waiter;
 
     boost::asio::awaitable<void> openFor(std::string workspace);
+    boost::asio::awaitable<void> openLater(std::string workspace);
+    bool isPressed() const;
+    bool isWaitedFor(const std::string& workspace) const;
     bool hasRoom() const;
     void serveNext();
     bool shouldOpen(const std::string& workspace) const;
@@ -98,6 +101,7 @@
     std::shared_ptr<Waiter> takeWaiter(const std::string& workspace);
     std::shared_ptr<TargetLink> takeIdle(const std::string& workspace);
     void dropOldestIdle();
+    void dropIdleBeyond(std::size_t count);
     void releasePlace();
 
     boost::asio::any_io_executor executor;
