Learn positions of primaries and lags of members from peers; stay with a relay through a short outage of the store

A lagging replica was found out anew by each instance. At a loss of history all followers turned to the store at once. Change: an instance with callers and without fresh positions asks two peers of its data centre; ages are counted from its own question. Lags over 500 ms travel along. A relay answers until its view is 3.2 s old. Ruled out: pushing positions (an answer that is held up would look newer than it is).

--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -223,6 +223,8 @@
     case wire::Envelope::kPrimaryNote:
     case wire::Envelope::kChangesRequest:
     case wire::Envelope::kChangesReply:
+    case wire::Envelope::kPositionsQuery:
+    case wire::Envelope::kPositionsReply:
         // Between instances that serve sessions.
     case wire::Envelope::BODY_NOT_SET:
         // A later release's message; this one has no use for it.
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -9,6 +9,7 @@
 #include "libserver/service_level.h"
 #include "libserver/slot_keeper.h"
 #include "libsession/page_server.h"
+#include "libsession/position_exchange.h"
 #include "libsession/promoter.h"
 #include "libsession/registration.h"
 #include "libsession/relay_choice.h"
@@ -55,6 +56,7 @@
     void storeChanged();
     void publishView();
     RelayPlan relayPlan() const;
+    void lookForPositions();
     void handleMessage(const wire::Envelope&);
     bool isReady() const;
     Page readyPage(const std::string& path) const;
@@ -78,6 +80,7 @@
     std::shared_ptr<RcuSnapshot<FleetView>> view = std::make_shared<RcuSnapshot<FleetView>>();
     ViewBuilder builder;
     std::shared_ptr<ViewRelay> relay;
+    std::unique_ptr<PositionExchange> positions;
     std::shared_ptr<StoreMirror> mirror;
     std::shared_ptr<Membership> membership;
     std::shared_ptr<PeerLink> link;
@@ -91,6 +94,8 @@
     std::shared_ptr<PageServer> readyServer;
     std::shared_ptr<PageServer> metricsServer;
     std::int64_t tablesInForce = 0;
+    // Statements when positions were looked for last.
+    std::uint64_t statementsSeen = 0;
     TimePoint trafficReportedAt = Clock::now();
     std::thread requestThread;
 };
@@ -104,6 +109,16 @@
     , builder(this->platform.documents)
 {
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
+    this->positions = std::make_unique<PositionExchange>(this->link,
+        PositionExchange::Hooks { [this](const std::string& service, const PositionWindow::Sample& sample) {
+                                     asio::post(this->requests, [groups = this->sessions->groups, service, sample] {
+                                         groups->notePrimaryPosition(service, sample.position, sample.askedAt);
+                                     });
+                                 },
+            [this](const std::string& member, const LagSight& sight) {
+                asio::post(this->requests,
+                    [groups = this->sessions->groups, member, sight] { groups->noteLag(member, sight); });
+            } });
     this->relay = std::make_shared<ViewRelay>(this->control, this->link, this->freshness);
     this->mirror = std::make_shared<StoreMirror>(this->control, this->platform.store, this->relay, this->freshness,
         StoreMirror::Hooks { [this] { this->storeChanged(); }, [this] { return this->relayPlan(); } });
@@ -246,6 +261,10 @@
         return this->relay->receiveRequest(sender, envelope.changes_request());
     case wire::Envelope::kChangesReply:
         return this->relay->receiveReply(envelope.changes_reply());
+    case wire::Envelope::kPositionsQuery:
+        return this->positions->receiveQuery(sender, envelope.positions_query());
+    case wire::Envelope::kPositionsReply:
+        return this->positions->receiveReply(envelope.positions_reply());
     case wire::Envelope::kViewQuery: {
         wire::Envelope answer;
         answer.mutable_view_note()->set_revision(this->mirror->revision());
@@ -337,12 +356,34 @@
         this->sessions->groups->keepHouse(Clock::now());
         auto sights = this->sessions->groups->sights();
         auto acknowledged = this->sessions->groups->acknowledged();
-        asio::post(this->control, [this, sights = std::move(sights), acknowledged = std::move(acknowledged)] {
+        auto positions = this->sessions->groups->latestPositions();
+        auto lags = this->sessions->groups->laggingMembers(Clock::now());
+        asio::post(this->control, [this, sights, acknowledged, positions, lags] {
             this->promoter->updateSights(sights, acknowledged);
+            this->positions->update(positions, lags);
+            // Without callers nobody needs them.
+            std::uint64_t statements = this->sessions->statements.load();
+            if (std::exchange(this->statementsSeen, statements) != statements)
+                this->lookForPositions();
         });
     }
 }
 
+void FrontInstance::Parts::lookForPositions()
+{
+    auto current = this->view->read();
+    std::vector<std::string> services;
+    for (const auto& [name, pool] : current->tables->pools)
+        services.push_back(name);
+    std::vector<std::string> peers;
+    for (const auto& [name, instance] : current->instances) {
+        bool near = instance.dataCentre == this->settings.dataCentre;
+        if (near && name != this->settings.name && !instance.peerAddress.empty())
+            peers.push_back(instance.peerAddress);
+    }
+    this->positions->look(services, peers, Clock::now());
+}
+
 asio::awaitable<void> FrontInstance::Parts::awaitLeave()
 {
     asio::signal_set signals(this->control, SIGTERM, SIGINT);
--- a/src/libsession/position_window.cpp
+++ b/src/libsession/position_window.cpp
@@ -30,6 +30,11 @@
     return std::nullopt;
 }
 
+std::optional<PositionWindow::Sample> PositionWindow::latest() const
+{
+    return this->samples.empty() ? std::nullopt : std::optional(this->samples.back());
+}
+
 Duration PositionWindow::lagOf(const Position& position, TimePoint now) const
 {
     for (const Sample& sample : this->samples) {
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -19,6 +19,7 @@
     constexpr Milliseconds relayWait { 1200 };
     // A follower whose view is older than this asks for an answer at once.
     constexpr Milliseconds hurryAfter { 1800 };
+    constexpr Milliseconds hurryPause { 200 };
     constexpr Milliseconds avoidRelayFor { 3000 };
     constexpr unsigned failuresUntilAvoided = 2;
     constexpr Milliseconds avoidStoreFor { 1000 };
@@ -63,13 +64,12 @@
         writeLog(LogLevel::Warning, "store_lost",
             { { "reason", message },
                 { "view_age_ms", fmt::format("{}", this->freshness->age(Clock::now()).count()) } });
-    Milliseconds pause = std::min(firstPause * (1 << std::min(this->failures, mostDoublings)), longestPause);
+    Milliseconds time = std::min(firstPause * (1 << std::min(this->failures, mostDoublings)), longestPause);
     ++this->failures;
     // Others may reach it meanwhile.
     if (this->failures >= failuresUntilAvoided)
         this->storeAvoidedUntil = Clock::now() + avoidStoreFor;
-    asio::steady_timer timer(this->context, pause);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await this->pause(time);
 }
 
 void StoreMirror::noteReached()
@@ -148,8 +148,10 @@
     if (!answer)
         co_return false;
     bool news = this->takeIn(answer->changes, answer->confirmedAt);
-    if (news || hurry)
+    if (news)
         co_await this->gather();
+    else if (hurry)
+        co_await this->pause(hurryPause);
     co_return true;
 }
 
@@ -186,9 +188,11 @@
 }
 
 // Changes often come together; each call would bring one of them.
-asio::awaitable<void> StoreMirror::gather()
+asio::awaitable<void> StoreMirror::gather() { return this->pause(gatherTime); }
+
+asio::awaitable<void> StoreMirror::pause(Milliseconds time)
 {
-    asio::steady_timer timer(this->context, gatherTime);
+    asio::steady_timer timer(this->context, time);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -43,6 +43,7 @@
     std::string relayToFollow(TimePoint now) const;
     bool takeIn(const KeyChanges&, TimePoint confirmedAt);
     boost::asio::awaitable<void> gather();
+    boost::asio::awaitable<void> pause(Milliseconds);
     boost::asio::awaitable<void> pauseAfterFailure(const std::string& message);
     void noteReached();
     void apply(const KeyValue&);
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // Lags that others are told of, and how old that may be.
+    constexpr Milliseconds longLag { 500 };
+    constexpr Milliseconds oldestLag { 600 };
     // A position is counted as this much older than its question, for clocks that run at different speeds.
     constexpr Milliseconds ageMargin { 50 };
     // Connections to a member that the fleet leaves free, for the instances that change the primary.
@@ -104,6 +107,33 @@
     this->windows[service].note(position, askedAt);
 }
 
+PrimaryPositions TargetGroups::latestPositions() const
+{
+    PrimaryPositions latest;
+    for (const auto& [service, window] : this->windows) {
+        if (auto sample = window.latest())
+            latest.emplace(service, *sample);
+    }
+    return latest;
+}
+
+MemberLags TargetGroups::laggingMembers(TimePoint now) const
+{
+    MemberLags lags;
+    for (const auto& [id, pool] : this->poolById) {
+        LagSight sight = pool->lastLag();
+        if (sight.lag >= longLag && now - sight.seenAt < oldestLag)
+            lags.emplace(id, sight);
+    }
+    return lags;
+}
+
+void TargetGroups::noteLag(const std::string& member, const LagSight& sight)
+{
+    if (auto pool = this->poolOf(member))
+        pool->noteLag(sight.lag, sight.seenAt);
+}
+
 void TargetGroups::noteMemberPosition(TargetPool& pool, const Position& position, TimePoint now)
 {
     auto window = this->windows.find(pool.target().service);
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -34,6 +34,12 @@
     Position own;
 };
 
+/// Latest samples by service.
+using PrimaryPositions = std::map<std::string, PositionWindow::Sample>;
+
+/// Members that lag, by id.
+using MemberLags = std::map<std::string, LagSight>;
+
 /// What this instance saw of one member lately, for the control thread.
 struct MemberSight {
     std::string id;
@@ -58,6 +64,12 @@
 
     /// An answer of a member that was believed to be the primary when it was asked.
     void notePrimaryPosition(const std::string& service, const Position&, TimePoint askedAt);
+    /// The latest position of each group's primary that is known here.
+    PrimaryPositions latestPositions() const;
+    /// Members that were far behind when they were asked last.
+    MemberLags laggingMembers(TimePoint now) const;
+    /// Another instance saw a member's lag.
+    void noteLag(const std::string& member, const LagSight&);
     /// A member answered with this position of its log.
     void noteMemberPosition(TargetPool&, const Position&, TimePoint now);
     /// A commit was acknowledged at this position.
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -27,7 +27,7 @@
     constexpr Milliseconds firstBehindPause { 40 };
     constexpr Milliseconds longestBehindPause { 1000 };
     // A replica that fell behind is asked again after this time.
-    constexpr Milliseconds lagLifetime { 300 };
+    constexpr Milliseconds lagLifetime { 600 };
     constexpr unsigned failuresUntilSuspect = 2;
     // Weight of a new time in the smoothed one.
     constexpr double timeWeight = 0.1;
@@ -301,6 +301,9 @@
 
 void TargetPool::noteLag(Duration seen, TimePoint now)
 {
+    // What another instance saw may arrive after what was seen here.
+    if (now < this->lagSeenAt)
+        return;
     this->lag = seen;
     this->lagSeenAt = now;
 }
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -34,6 +34,12 @@
     TimePoint lastLostWrite;
 };
 
+/// How far a member's log was behind its primary's, and when that was seen.
+struct LagSight {
+    Duration lag { 0 };
+    TimePoint seenAt;
+};
+
 /// The connections of this instance to one member: a few, each for one workspace, lent for a statement or a
 /// transaction. On the request thread.
 class TargetPool : public std::enable_shared_from_this<TargetPool> {
@@ -60,6 +66,7 @@
     void noteLag(Duration lag, TimePoint now);
     /// True while it is not worth asking the member for data that is no older than `maxAge`.
     bool lagsBeyond(Duration maxAge, TimePoint now) const;
+    LagSight lastLag() const { return { this->lag, this->lagSeenAt }; }
     /// True while it is not worth asking the member for data at `floor`.
     bool seemsBehind(const Position& floor, TimePoint now) const;
     /// `connections`: those that every instance may have open, 0 if there are more instances than connections. A busy
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     // An instance whose own view is older than this sends its followers elsewhere.
-    constexpr Milliseconds oldestAnswer { 2500 };
+    constexpr Milliseconds oldestAnswer { 3200 };
     // What an answer may take on its way.
     constexpr Milliseconds travelTime { 300 };
     constexpr std::size_t mostHeld = 4096;
