--- /dev/null
+++ b/src/libserver/admission_test.cpp
@@ -0,0 +1,154 @@
+// A workspace's rate over several instances that talk over loopback.
+
+#include "libserver/admission.h"
+#include "catkinlock/membership.h"
+#include "catkinlock/peer_link.h"
+#include "peer.pb.h"
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace catkinlock;
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::uint32_t slotCount = 8;
+constexpr std::uint32_t rate = 100;
+constexpr std::uint32_t burst = 40;
+
+struct Instance {
+    Instance(asio::io_context& context, const std::string& name)
+        : link(std::make_shared<PeerLink>(context, "a-secret-of-the-test"))
+    {
+        this->record = { name, this->link->bind("127.0.0.1:0"), "dc", 1, 1, InstanceState::Live, {} };
+        this->membership = std::make_shared<Membership>(this->record);
+        this->admission
+            = std::make_shared<Admission>(context, context.get_executor(), this->link, this->membership);
+        this->link->start([this](const wire::Envelope& envelope) {
+            if (envelope.has_token_request())
+                this->admission->receiveTokenRequest(envelope.sender(), envelope.token_request());
+            if (envelope.has_token_reply())
+                this->admission->receiveTokenReply(envelope.sender(), envelope.token_reply());
+        });
+        this->admission->updateSlots({}, Clock::now(), slotCount);
+        Tables tables;
+        tables.workspaces["tours"] = { "tours", rate, burst, 1 };
+        this->admission->updateTables(tables);
+        this->admission->start();
+    }
+
+    void hold(std::set<std::uint32_t> slots)
+    {
+        this->record.slots = { slots.begin(), slots.end() };
+        this->membership->setSelf(InstanceState::Live, this->record.slots);
+        this->admission->updateSlots(slots, Clock::now() + std::chrono::hours(1), slotCount);
+    }
+    void know(Instance& other)
+    {
+        InstanceRecord seen = other.record;
+        seen.version = ++this->version;
+        this->membership->apply(seen, Clock::now());
+    }
+
+    std::shared_ptr<PeerLink> link;
+    InstanceRecord record;
+    std::shared_ptr<Membership> membership;
+    std::shared_ptr<Admission> admission;
+    std::uint64_t version = 1;
+};
+
+// Instance `a` holds half of the rate and `b` the other half; `c` holds nothing.
+struct Fleet {
+    Fleet()
+    {
+        this->a.hold({ 0, 1, 2, 3 });
+        this->b.hold({ 4, 5, 6, 7 });
+        for (Instance* one : { &this->a, &this->b, &this->c }) {
+            for (Instance* other : { &this->a, &this->b, &this->c }) {
+                if (one != other)
+                    one->know(*other);
+            }
+        }
+    }
+
+    template <typename Work> void run(Work work)
+    {
+        asio::co_spawn(
+            this->context,
+            [this, work]() -> asio::awaitable<void> {
+                co_await work();
+                this->context.stop();
+            },
+            asio::detached);
+        this->context.restart();
+        this->context.run();
+    }
+
+    asio::awaitable<void> pause(Milliseconds time)
+    {
+        asio::steady_timer timer(this->context, time);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
+    asio::io_context context;
+    Instance a { this->context, "a" };
+    Instance b { this->context, "b" };
+    Instance c { this->context, "c" };
+};
+
+} // namespace
+
+// Load: a slow trickle at an instance that holds no part of the rate.
+TEST(Admission, AnInstanceWithoutUnitsServesFromTheHoldersTokens)
+{
+    Fleet fleet;
+    int admitted = 0;
+    fleet.run([&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 200 && admitted < 20; ++i) {
+            auto taken = co_await fleet.c.admission->admit("tours", Clock::now() + std::chrono::seconds(5));
+            admitted += taken.has_value();
+            co_await fleet.pause(Milliseconds(5));
+        }
+    });
+    EXPECT_EQ(admitted, 20);
+}
+
+// Load: far more than the rate at all three. Whatever they tell each other, together they stay within it.
+TEST(Admission, AllTogetherStayWithinRateAndBurst)
+{
+    Fleet fleet;
+    int admitted = 0;
+    TimePoint start = Clock::now();
+    fleet.run([&]() -> asio::awaitable<void> {
+        while (Clock::now() - start < Milliseconds(1500)) {
+            for (Instance* instance : { &fleet.a, &fleet.b, &fleet.c }) {
+                auto taken = co_await instance->admission->admit("tours", Clock::now() + Milliseconds(1));
+                admitted += taken.has_value();
+            }
+        }
+    });
+    double seconds = std::chrono::duration<double>(Clock::now() - start).count();
+    EXPECT_LE(admitted, rate * seconds + burst);
+    EXPECT_GE(admitted, 1);
+}
+
+// An operation of which nothing ran does not count.
+TEST(Admission, ARefundedTokenIsSpentAgain)
+{
+    Fleet fleet;
+    int admitted = 0;
+    fleet.run([&]() -> asio::awaitable<void> {
+        // The bucket is full after this.
+        co_await fleet.pause(Milliseconds(600));
+        for (int i = 0; i < 200; ++i) {
+            auto taken = co_await fleet.a.admission->admit("tours", Clock::now() + std::chrono::seconds(1));
+            if (!taken)
+                continue;
+            ++admitted;
+            fleet.a.admission->refund("tours");
+        }
+    });
+    EXPECT_EQ(admitted, 200);
+}
--- a/src/standin/line_member.cpp
+++ b/src/standin/line_member.cpp
@@ -52,6 +52,15 @@
     return formatAddress(this->acceptor.local_endpoint());
 }
 
+asio::awaitable<void> LineMember::refuse(std::shared_ptr<Connection> connection)
+{
+    std::string text = "ERR CONNLIMIT full\r\n";
+    co_await asio::async_write(connection->socket, asio::buffer(text), asio::as_tuple(asio::use_awaitable));
+    // The caller reads the refusal before the connection ends.
+    std::array<char, 256> rest {};
+    co_await connection->socket.async_read_some(asio::buffer(rest), asio::as_tuple(asio::use_awaitable));
+}
+
 asio::awaitable<void> LineMember::accept()
 {
     auto self = this->shared_from_this();
@@ -60,8 +69,19 @@
         if (error)
             co_return;
         auto connection = std::make_shared<Connection>(std::move(socket));
+        if (this->openConnections >= this->mostConnections) {
+            asio::co_spawn(
+                this->context, [connection] { return refuse(connection); }, asio::detached);
+            continue;
+        }
+        ++this->openConnections;
         asio::co_spawn(
-            this->context, [self, connection] { return self->serve(connection); }, asio::detached);
+            this->context,
+            [self, connection]() -> asio::awaitable<void> {
+                co_await self->serve(connection);
+                --self->openConnections;
+            },
+            asio::detached);
     }
 }
 
--- a/src/standin/line_member.h
+++ b/src/standin/line_member.h
@@ -31,11 +31,15 @@
     std::string start();
     /// Answers nothing from now on, or again.
     void setDark(bool dark) { this->dark = dark; }
+    /// Refuses connections beyond this number.
+    void setMostConnections(std::size_t most) { this->mostConnections = most; }
+    std::size_t connections() const { return this->openConnections; }
 
 private:
     struct Connection;
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection>);
+    static boost::asio::awaitable<void> refuse(std::shared_ptr<Connection>);
     std::string answer(Connection&, const SessionStatement&);
     std::string reportRow() const;
 
@@ -46,6 +50,8 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::uint64_t termHeld = 0;
     bool dark = false;
+    std::size_t mostConnections = SIZE_MAX;
+    std::size_t openConnections = 0;
 };
 
 } // namespace catkinlock::standin
