Keep a connection that a full primary refused, and take the position from the refusal

Cause: on the grown Cluj site one primary got 170 refused statements to 7 served: each refused try closed its connection and the next one opened another, and openings took the slots that statements needed; without an answer nobody learnt a position, so all reads of the group went on to that primary. Change: a statement that a primary refuses for want of room is sent again on the same connection within its wait; the position in a refusal counts.

--- a/src/libserver/admission_test.cpp
+++ b/src/libserver/admission_test.cpp
@@ -1,8 +1,8 @@
 // A workspace's rate over several instances that talk over loopback.
 
-#include "libserver/admission.h"
 #include "catkinlock/membership.h"
 #include "catkinlock/peer_link.h"
+#include "libserver/admission.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
@@ -24,8 +24,7 @@
     {
         this->record = { name, this->link->bind("127.0.0.1:0"), "dc", 1, 1, InstanceState::Live, {} };
         this->membership = std::make_shared<Membership>(this->record);
-        this->admission
-            = std::make_shared<Admission>(context, context.get_executor(), this->link, this->membership);
+        this->admission = std::make_shared<Admission>(context, context.get_executor(), this->link, this->membership);
         this->link->start([this](const wire::Envelope& envelope) {
             if (envelope.has_token_request())
                 this->admission->receiveTokenRequest(envelope.sender(), envelope.token_request());
@@ -140,10 +139,11 @@
     Fleet fleet;
     int admitted = 0;
     fleet.run([&]() -> asio::awaitable<void> {
-        // The bucket is full after this.
+        // The bucket is full after this; an instance without requests fills it at the first one.
         co_await fleet.pause(Milliseconds(600));
+        while (!co_await fleet.a.admission->admit("tours", Clock::now() + std::chrono::seconds(1))) { }
         for (int i = 0; i < 200; ++i) {
-            auto taken = co_await fleet.a.admission->admit("tours", Clock::now() + std::chrono::seconds(1));
+            auto taken = co_await fleet.a.admission->admit("tours", Clock::now());
             if (!taken)
                 continue;
             ++admitted;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -29,6 +29,12 @@
         return std::max(left, Milliseconds(1));
     }
 
+    // How long a statement waits for room at a member.
+    Milliseconds roomWait(const Route& route)
+    {
+        return std::max(Milliseconds(route.objectiveMs) / waitDivisor, leastWait);
+    }
+
     // What the member says before it has done anything.
     bool isNotRun(StatementError error)
     {
@@ -277,11 +283,23 @@
     auto view = this->context->view->read();
     auto primary = view->primaryOf(pool->target().service);
     bool fromPrimary = primary && primary->id == pool->target().id && this->context->freshness->isFresh(now);
-    if (fromPrimary && done)
+    // A refusal for want of room tells the position as well, and an overloaded primary gives little else.
+    if (fromPrimary && (done || result.reply.error == StatementError::Busy))
         this->context->groups->notePrimaryPosition(pool->target().service, result.reply.position, sentAt);
     co_return result;
 }
 
+bool SessionRunner::wasRefusedForRoom(const Try& result)
+{
+    return result.fate == Try::Fate::NotRun && result.reply.error == StatementError::Busy;
+}
+
+asio::awaitable<void> SessionRunner::pause(Milliseconds time)
+{
+    asio::steady_timer timer(this->context->executor, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 void SessionRunner::recordTry(
     const Try& result, const SessionStatement& statement, const std::optional<Position>& after) const
 {
@@ -300,8 +318,7 @@
 {
     ++this->tries;
     this->member = placement.pool->target().id;
-    Milliseconds wait = std::max(Milliseconds(call.route.objectiveMs) / waitDivisor, leastWait);
-    TimePoint waitUntil = std::min(call.deadline, Clock::now() + wait);
+    TimePoint waitUntil = std::min(call.deadline, Clock::now() + roomWait(call.route));
     auto link = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil);
     Try result;
     if (!link) {
@@ -311,6 +328,11 @@
         co_return result;
     }
     result = co_await this->exchange(*link, placement, statement, call, timeout);
+    // There is one primary. Opening a connection anew would cost it as much as a statement, so this one is kept.
+    while (placement.isPrimary && this->wasRefusedForRoom(result) && Clock::now() + busyPause < waitUntil) {
+        co_await this->pause(busyPause);
+        result = co_await this->exchange(*link, placement, statement, call, timeout);
+    }
     this->recordTry(result, statement, placement.after);
     giveBackClean(this->context->executor, placement.pool, *link);
     result.reply.state = TransactionState::Idle;
@@ -384,8 +406,7 @@
         ++this->tries;
         this->member = placement->pool->target().id;
         tried.insert(this->member);
-        Milliseconds wait = std::max(Milliseconds(call.route.objectiveMs) / waitDivisor, leastWait);
-        TimePoint waitUntil = std::min(call.deadline, Clock::now() + wait);
+        TimePoint waitUntil = std::min(call.deadline, Clock::now() + roomWait(call.route));
         auto link = co_await placement->pool->borrow(call.workspace, call.route.priority, waitUntil);
         if (!link) {
             failure.errorText = link.error().message;
@@ -412,6 +433,13 @@
     }
     if (adopted)
         reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
+    TimePoint waitUntil = std::min(call.deadline, Clock::now() + roomWait(call.route));
+    while (adopted && reply && reply->error == StatementError::Busy && Clock::now() + busyPause < waitUntil
+        && this->mayStillRun(placement, call)) {
+        placement.pool->noteBusy();
+        co_await this->pause(busyPause);
+        reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
+    }
     if (!adopted || !reply) {
         placement.pool->noteFailure(false, Clock::now());
         failure.errorText = "the member did not begin the transaction";
@@ -464,8 +492,7 @@
             std::string why = result.reply.error ? statementErrorName(*result.reply.error) : result.reply.errorText;
             co_return this->failTransaction(StatementError::Aborted, "the transaction was rolled back: " + why);
         }
-        asio::steady_timer pause(this->context->executor, busyPause);
-        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await this->pause(busyPause);
     }
     co_return this->failTransaction(StatementError::Aborted, "the transaction was rolled back: the member is busy");
 }
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -89,6 +89,8 @@
     boost::asio::awaitable<bool> beginOn(std::shared_ptr<TargetLink>, Placement, StatementCall, TargetReply& failure);
     void recordTry(const Try&, const SessionStatement&, const std::optional<Position>& after) const;
     boost::asio::awaitable<Try> tryOn(Placement, SessionStatement, StatementCall, Milliseconds timeout);
+    static bool wasRefusedForRoom(const Try&);
+    boost::asio::awaitable<void> pause(Milliseconds);
     Placement transactionPlacement() const;
     bool mayStillRun(const Placement&, const StatementCall&) const;
     boost::asio::awaitable<Try> exchange(
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -1,7 +1,7 @@
 // Connections to a member, against a stand-in member.
 
-#include "libsession/target_pool.h"
 #include "libsession/target_link.h"
+#include "libsession/target_pool.h"
 #include "platform/line_codec.h"
 #include "standin/line_member.h"
 #include <boost/asio.hpp>
