--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -88,6 +88,7 @@
     std::int64_t revision = start;
     for (int size : sizes) {
         std::vector<KeyValue> batch;
+        batch.reserve(static_cast<std::size_t>(size));
         for (int i = 0; i < size; ++i)
             batch.push_back(change(++revision));
         log.append(batch, revision);
