Stop listening before a leaving instance ends, so that what it has read is answered

Ruled out: the end of idle sessions (the one that was cut had a request under way). Change: once no session is left the listener is closed, and the instance ends when a later look still finds none.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -434,15 +434,22 @@
     asio::steady_timer timer(this->control);
     this->sessions->leaving = true;
     this->promoter->stop();
+    bool accepting = true;
     for (;;) {
         timer.expires_after(drainStep);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         Duration passed = Clock::now() - start;
         bool idleEnd = passed > total * idleSessionsPart;
         bool transactionsEnd = passed > total * transactionsPart;
-        if (idleEnd && (!this->sessions->sessions.load() || passed > total * lastPart))
+        bool empty = !this->sessions->sessions.load();
+        if (idleEnd && ((empty && !accepting) || passed > total * lastPart))
             break;
-        asio::post(this->requests, [this, idleEnd, transactionsEnd] {
+        // A session that came before the listener is closed is served; a later one is not taken.
+        bool stopAccepting = idleEnd && empty && accepting;
+        accepting = accepting && !stopAccepting;
+        asio::post(this->requests, [this, idleEnd, transactionsEnd, stopAccepting] {
+            if (stopAccepting)
+                this->front->stopAccepting();
             if (idleEnd)
                 this->front->endIdleSessions();
             if (transactionsEnd)
--- a/src/standin/kv_service.cpp
+++ b/src/standin/kv_service.cpp
@@ -227,6 +227,8 @@
         co_return answer;
     }
     if (path.starts_with("/api/kv-lease-end/")) {
+        asio::steady_timer timer(this->context, this->leaseEndDelay);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         this->endLease(trailingNumber(path));
         co_return answer;
     }
--- a/src/standin/kv_service.h
+++ b/src/standin/kv_service.h
@@ -26,6 +26,8 @@
     void put(const std::string& key, const std::string& value);
     /// Turns every call away from now on, or no longer.
     void setRefusing(bool refuses) { this->refusing = refuses; }
+    /// Answers calls that end a lease after this time.
+    void setLeaseEndDelay(std::chrono::milliseconds delay) { this->leaseEndDelay = delay; }
     /// Fencing tokens of the promotions so far.
     const std::vector<std::int64_t>& fencingTokens() const { return this->tokens; }
 
@@ -67,6 +69,7 @@
     std::vector<Change> changes;
     std::vector<std::int64_t> tokens;
     std::map<std::int64_t, Lease> leases;
+    std::chrono::milliseconds leaseEndDelay { 0 };
     std::int64_t revision = 1;
     std::int64_t nextLease = 100;
     bool refusing = false;
--- a/src/standin/line_member.cpp
+++ b/src/standin/line_member.cpp
@@ -179,6 +179,10 @@
         std::string out;
         if (auto* statement = std::get_if<SessionStatement>(&*message))
             out = this->answer(*connection, *statement);
+        if (this->answerDelay.count()) {
+            asio::steady_timer timer(this->context, this->answerDelay);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         const Position& at = this->group->position;
         out += fmt::format("READY {} {}.{}\r\n", states[static_cast<std::size_t>(connection->state)], at.term, at.lsn);
         auto [error, size]
--- a/src/standin/line_member.h
+++ b/src/standin/line_member.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -31,6 +32,8 @@
     std::string start();
     /// Answers nothing from now on, or again.
     void setDark(bool dark) { this->dark = dark; }
+    /// Answers each message this much later.
+    void setAnswerDelay(std::chrono::milliseconds delay) { this->answerDelay = delay; }
     /// Refuses connections beyond this number.
     void setMostConnections(std::size_t most) { this->mostConnections = most; }
     std::size_t connections() const { return this->openConnections; }
@@ -50,6 +53,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     std::uint64_t termHeld = 0;
     bool dark = false;
+    std::chrono::milliseconds answerDelay { 0 };
     std::size_t mostConnections = SIZE_MAX;
     std::size_t openConnections = 0;
 };
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -265,3 +265,26 @@
     }
     EXPECT_EQ(site.instances[0]->awaitExit(10), 0);
 }
+
+// A session that comes while the instance gives up its registration is either not taken or answered.
+TEST(Sessions, AnInstanceThatLeavesAnswersWhatItHasRead)
+{
+    Site site;
+    {
+        LineCaller caller(site.callerAddresses[0], "primary-db", "key-1");
+        runUntilDone(caller, "READ seat");
+    }
+    site.change([&] {
+        site.store->setLeaseEndDelay(std::chrono::milliseconds(800));
+        for (const auto& member : site.members)
+            member->setAnswerDelay(std::chrono::milliseconds(600));
+    });
+    site.instances[0]->sendSignal(SIGTERM);
+    // Without sessions it is about to end after a quarter of its time to leave.
+    std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    LineCaller late(site.callerAddresses[0], "primary-db", "key-1");
+    // Nothing is read once nobody listens.
+    std::string answer = late.opening.empty() ? "" : late.run("READ seat");
+    EXPECT_TRUE(late.opening.empty() || answer.find("READY") != std::string::npos) << answer;
+    EXPECT_EQ(site.instances[0]->awaitExit(10), 0);
+}
