--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -333,7 +333,7 @@
     this->link->send(sender, envelope);
 }
 
-void Admission::receiveTokenReply(const std::string& /*sender*/, const wire::TokenReply& reply)
+void Admission::receiveTokenReply(const wire::TokenReply& reply)
 {
     auto found = this->accounts.find(reply.workspace());
     if (found == this->accounts.end())
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -47,7 +47,7 @@
     void start();
     void stop() { this->stopped = true; }
     void receiveTokenRequest(const std::string& sender, const wire::TokenRequest&);
-    void receiveTokenReply(const std::string& sender, const wire::TokenReply&);
+    void receiveTokenReply(const wire::TokenReply&);
 
     std::uint64_t admitted() const { return this->admittedCount.load(); }
     std::uint64_t refused() const { return this->refusedCount.load(); }
--- a/src/libserver/admission_test.cpp
+++ b/src/libserver/admission_test.cpp
@@ -4,6 +4,7 @@
 #include "catkinlock/peer_link.h"
 #include "libserver/admission.h"
 #include "peer.pb.h"
+#include "standin/run_to_end.h"
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 #include <set>
@@ -29,7 +30,7 @@
             if (envelope.has_token_request())
                 this->admission->receiveTokenRequest(envelope.sender(), envelope.token_request());
             if (envelope.has_token_reply())
-                this->admission->receiveTokenReply(envelope.sender(), envelope.token_reply());
+                this->admission->receiveTokenReply(envelope.token_reply());
         });
         this->admission->updateSlots({}, Clock::now(), slotCount);
         Tables tables;
@@ -72,18 +73,7 @@
         }
     }
 
-    template <typename Work> void run(Work work)
-    {
-        asio::co_spawn(
-            this->context,
-            [this, work]() -> asio::awaitable<void> {
-                co_await work();
-                this->context.stop();
-            },
-            asio::detached);
-        this->context.restart();
-        this->context.run();
-    }
+    template <typename Work> void run(Work work) { standin::runToEnd(this->context, work); }
 
     asio::awaitable<void> pause(Milliseconds time)
     {
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -205,7 +205,7 @@
     case wire::Envelope::kTokenRequest:
         return this->admission->receiveTokenRequest(sender, envelope.token_request());
     case wire::Envelope::kTokenReply:
-        return this->admission->receiveTokenReply(sender, envelope.token_reply());
+        return this->admission->receiveTokenReply(envelope.token_reply());
     case wire::Envelope::kTableRequest: {
         wire::Envelope answer;
         *answer.mutable_table_update() = this->config->answer(envelope.table_request());
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -252,7 +252,7 @@
     case wire::Envelope::kTokenRequest:
         return this->admission->receiveTokenRequest(sender, envelope.token_request());
     case wire::Envelope::kTokenReply:
-        return this->admission->receiveTokenReply(sender, envelope.token_reply());
+        return this->admission->receiveTokenReply(envelope.token_reply());
     case wire::Envelope::kPrimaryNote:
         return this->promoter->receivePrimaryNote(sender, envelope.primary_note());
     case wire::Envelope::kViewNote:
--- a/src/libsession/position_window.h
+++ b/src/libsession/position_window.h
@@ -21,10 +21,10 @@
     void note(const Position& position, TimePoint askedAt);
     /// A position that covers every commit acknowledged before `since`: the lowest one known. Nothing if none is known.
     std::optional<Position> covering(TimePoint since) const;
-    /// How far a log that ends at `position` is behind the primary, as far as is known: 0 if the primary is not known
-    /// to have had more.
     /// The latest sample; nothing if there is none.
     std::optional<Sample> latest() const;
+    /// How far a log that ends at `position` is behind the primary, as far as is known: 0 if the primary is not known
+    /// to have had more.
     Duration lagOf(const Position& position, TimePoint now) const;
 
 private:
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -8,6 +8,7 @@
 #include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
+#include "standin/run_to_end.h"
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -64,15 +65,8 @@
     boost::asio::io_context& context, Peer& follower, const std::string& address, std::int64_t after, Milliseconds wait)
 {
     std::optional<RelayedChanges> answer;
-    boost::asio::co_spawn(
-        context,
-        [&]() -> boost::asio::awaitable<void> {
-            answer = co_await follower.relay->ask(address, after, wait);
-            context.stop();
-        },
-        boost::asio::detached);
-    context.restart();
-    context.run();
+    standin::runToEnd(context,
+        [&]() -> boost::asio::awaitable<void> { answer = co_await follower.relay->ask(address, after, wait); });
     return answer;
 }
 
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -4,6 +4,7 @@
 #include "libsession/target_pool.h"
 #include "platform/line_codec.h"
 #include "standin/line_member.h"
+#include "standin/run_to_end.h"
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 
@@ -31,19 +32,7 @@
         return made;
     }
 
-    // Runs `work` to its end.
-    template <typename Work> void run(Work work)
-    {
-        asio::co_spawn(
-            this->context,
-            [this, work]() -> asio::awaitable<void> {
-                co_await work();
-                this->context.stop();
-            },
-            asio::detached);
-        this->context.restart();
-        this->context.run();
-    }
+    template <typename Work> void run(Work work) { standin::runToEnd(this->context, work); }
 
     asio::io_context context;
     std::shared_ptr<standin::LineGroup> group = std::make_shared<standin::LineGroup>();
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -91,7 +91,7 @@
     TimePoint now = Clock::now();
     Milliseconds wait(std::min(request.wait_ms(), longestHoldMs));
     Held asker { sender, request.id(), request.after_revision(), now + wait };
-    bool hasNews = this->log.revision() > asker.after || asker.after < 0;
+    bool hasNews = this->log.revision() > asker.after;
     if (hasNews || !wait.count() || !this->mayAnswer(now) || this->held.size() >= mostHeld)
         return this->answer(asker);
     this->held.push_back(asker);
