Give an operation's token back only once the operation has ended

Cause, found by reading: a statement refused for its form inside an open transaction (a second BEGIN) gave the token back, and the transaction then ran without one: a way past a workspace's rate. Change: the rule is a value of its own, OperationToken; a transaction that stays open keeps its token.

--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -1,5 +1,6 @@
 #include "catkinlock/line_budget.h"
 #include "libsession/member_choice.h"
+#include "libsession/operation_token.h"
 #include "libsession/position_window.h"
 #include "libsession/target_pool.h"
 #include <boost/asio/io_context.hpp>
@@ -70,6 +71,36 @@
     EXPECT_TRUE(pool.lagsBeyond(Milliseconds(1500), start + Milliseconds(100)));
 }
 
+TEST(OperationToken, GoesBackOnceIfNothingRan)
+{
+    OperationToken token;
+    token.take();
+    EXPECT_TRUE(token.settle(true, false, TransactionState::Idle));
+    EXPECT_FALSE(token.settle(true, false, TransactionState::Idle));
+    token.take();
+    EXPECT_FALSE(token.settle(false, true, TransactionState::Idle));
+    EXPECT_FALSE(token.settle(true, false, TransactionState::Idle));
+}
+
+// A caller that gets an error inside an open transaction goes on in it, so its token is not free.
+TEST(OperationToken, StaysWithATransactionThatGoesOn)
+{
+    OperationToken token;
+    token.take();
+    EXPECT_FALSE(token.settle(false, false, TransactionState::Open));
+    EXPECT_FALSE(token.settle(true, false, TransactionState::Open));
+    EXPECT_FALSE(token.settle(false, true, TransactionState::Open));
+    EXPECT_FALSE(token.settle(true, true, TransactionState::Failed));
+}
+
+TEST(OperationToken, GoesBackWhenATransactionFailsBeforeItsFirstStatementRan)
+{
+    OperationToken token;
+    token.take();
+    EXPECT_FALSE(token.settle(false, false, TransactionState::Open));
+    EXPECT_TRUE(token.settle(true, false, TransactionState::Failed));
+}
+
 TEST(LineBudget, BoundsTheLinesOfASecondAndCountsTheRest)
 {
     LineBudget budget(10);
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -235,11 +235,13 @@
             co_return refusal;
         }
     }
-    if (starts)
+    if (starts) {
         this->runner.beginOperation();
-    this->mayRefund = this->mayRefund || starts;
+        this->token.take();
+    }
     TargetReply reply = co_await this->runner.run(statement, *call);
-    this->refundUnrun(*call, reply);
+    if (this->token.settle(reply.error.has_value(), this->runner.mayHaveRun(), this->runner.state()))
+        this->context->admission->refund(call->workspace);
     if (this->runner.state() == TransactionState::Idle)
         this->transactionRoute.reset();
     else if (!this->transactionRoute)
@@ -248,15 +250,6 @@
     co_return reply;
 }
 
-// A workspace's rate is for what runs. An operation of which nothing ran gives its token back, once.
-void Session::refundUnrun(const StatementCall& call, const TargetReply& reply)
-{
-    if (this->mayRefund && reply.error && !this->runner.mayHaveRun())
-        this->context->admission->refund(call.workspace);
-    bool over = reply.error || this->runner.mayHaveRun() || this->runner.state() == TransactionState::Idle;
-    this->mayRefund = this->mayRefund && !over;
-}
-
 void Session::record(const SessionStatement& statement, const TargetReply& reply, const StatementCall& call) const
 {
     TimePoint now = Clock::now();
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -3,6 +3,7 @@
 #include "catkinlock/caller_message.h"
 #include "catkinlock/clock.h"
 #include "catkinlock/target_message.h"
+#include "libsession/operation_token.h"
 #include "libsession/session_context.h"
 #include "libsession/session_runner.h"
 #include <boost/asio/awaitable.hpp>
@@ -35,7 +36,6 @@
     boost::asio::awaitable<TargetReply> answer(SessionStatement);
     tl::expected<StatementCall, TargetReply> admitCall() const;
     void watchIdleTransaction();
-    void refundUnrun(const StatementCall&, const TargetReply&);
     void record(const SessionStatement&, const TargetReply&, const StatementCall&) const;
 
     std::unique_ptr<Socket> socket;
@@ -47,8 +47,7 @@
     // Route of the open transaction; changes apply from the next one on.
     std::optional<Route> transactionRoute;
     std::string received;
-    // The operation under way has taken a token and has run nothing yet.
-    bool mayRefund = false;
+    OperationToken token;
     bool waiting = false;
     bool ending = false;
 };
