Request whole tokens, so that a holder that lacks a part of one obtains it

Callers saw: refusals within the rate at instances that hold a share themselves, as on fleets with few instances.

Cause: a holder that had 0.3 of a token asked for the missing 0.7, and the other holders, which grant whole tokens only, rounded that down to nothing and counted as empty for 100 ms.

Change: the amount asked for is rounded up to whole tokens.

--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -14,6 +14,12 @@
     // Delay before the next request to a holder that did not reply in time.
     constexpr Milliseconds unresponsiveRetryDelay { 1000 };
 
+    // Rounded up, because a holder grants whole tokens only: a request for less than one would get nothing.
+    std::int64_t wholeTokens(std::int64_t milliTokens)
+    {
+        return (milliTokens + milliPerToken - 1) / milliPerToken * milliPerToken;
+    }
+
 } // namespace
 
 void TokenRequester::dropLost(TimePoint now)
@@ -50,12 +56,13 @@
         missing -= request.milliTokens;
     if (missing <= 0)
         return std::nullopt;
+    std::int64_t wanted = wholeTokens(missing + prefetch);
     for (std::size_t i = 0; i < holders.size(); ++i) {
         const std::string& holder = holders[(this->firstHolder + i) % holders.size()];
         if (!this->mayAsk(holder, now))
             continue;
-        this->pending[holder] = { id, now, missing + prefetch };
-        return TokenQuery { id, holder, missing + prefetch };
+        this->pending[holder] = { id, now, wanted };
+        return TokenQuery { id, holder, wanted };
     }
     return std::nullopt;
 }
--- a/src/libcore/token_requester_test.cpp
+++ b/src/libcore/token_requester_test.cpp
@@ -22,7 +22,9 @@
 constexpr int refillMs = 10;
 // One way, between instances.
 constexpr int latencyMs = 3;
-constexpr std::size_t instanceCount = 136;
+constexpr std::size_t largeFleet = 136;
+// In a fleet of this size, nearly every instance holds a share.
+constexpr std::size_t smallFleet = 8;
 // Goal for the worst-served workspace: its part of what one bucket for the whole fleet would serve.
 constexpr double minServedShare = 0.98;
 
@@ -30,6 +32,7 @@
     std::uint32_t rate;
     std::uint32_t burst;
     double requestsPerSecond;
+    std::size_t instances = largeFleet;
 };
 
 struct Outcome {
@@ -73,7 +76,7 @@
     PlayedFleet(const Load& load, std::uint64_t seed)
         : load(load)
         , random(seed)
-        , instances(instanceCount, Instance(load, this->at(0)))
+        , instances(load.instances, Instance(load, this->at(0)))
     {
         std::uint32_t shares = shareCountFor(load.burst);
         for (std::uint32_t i = 0; i < shares; ++i) {
@@ -91,7 +94,7 @@
             for (; nextArrival <= now; nextArrival += gap(this->random))
                 this->arrive(now);
             this->deliver(now);
-            for (std::size_t i = 0; i < instanceCount; ++i)
+            for (std::size_t i = 0; i < this->load.instances; ++i)
                 this->runTimers(i, now);
         }
         return this->outcome;
@@ -102,7 +105,7 @@
 
     void arrive(int now)
     {
-        std::size_t index = std::uniform_int_distribution<std::size_t>(0, instanceCount - 1)(this->random);
+        std::size_t index = std::uniform_int_distribution<std::size_t>(0, this->load.instances - 1)(this->random);
         Instance& instance = this->instances[index];
         ++this->outcome.requests;
         if (instance.take())
@@ -190,7 +193,7 @@
         level = std::min<double>(load.burst, level + load.rate / 1000.0);
         for (; nextArrival <= now; nextArrival += gap(random)) {
             // The fleet draws an instance here.
-            std::uniform_int_distribution<std::size_t>(0, instanceCount - 1)(random);
+            std::uniform_int_distribution<std::size_t>(0, load.instances - 1)(random);
             ++outcome.requests;
             waiting.push_back(now);
         }
@@ -233,6 +236,13 @@
         EXPECT_GE(servedShare({ rate, rate, rate * 2.0 }), minServedShare) << "rate " << rate;
 }
 
+// A holder that has a part of a token asks for the rest, and the others grant whole tokens only.
+TEST(TokenRequester, AHolderThatLacksAPartOfATokenObtainsOne)
+{
+    for (std::uint32_t rate : playedRates)
+        EXPECT_GE(servedShare({ rate, rate, rate * 0.625, smallFleet }), minServedShare) << "rate " << rate;
+}
+
 // While a grant is outstanding, a share of one to three tokens is often too full to accrue.
 TEST(TokenRequester, AWorkspaceOfAFewRequestsASecondIsNotRefused)
 {
