Keep the connections to all instances that a slot holder replies to

Callers saw: on the grown sites, requests refused as over their rate while holders had tokens; after all instances were killed, next to nothing was served for four seconds.

Cause: an instance kept connections to 64 peers. A holder of a slot replies to each of the other 135 in turn, so each reply opened a connection and closed another one, with the replies that it still queued. A reply that is lost counts the holder as unresponsive for a second. A cache smaller than its working set; relays reply to fewer peers (20) and were not affected by themselves, but share the cache at instances that are both.

Test over loopback: 389 of 675 replies arrive with 64, all with 512.

--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -16,8 +16,10 @@
     constexpr std::uint32_t protocolVersion = 1;
     // Length of the message authentication code, an HMAC-SHA-256, in front of each message.
     constexpr std::size_t macBytes = 32;
-    // Beyond this number of open connections, the least recently used one is closed.
-    constexpr std::size_t maxOpenPeers = 64;
+    // Beyond this number of open connections, the least recently used one is closed with what it still queues. Above
+    // the number of peers that a slot holder talks to in turn, and low enough for the descriptors of a small machine: a
+    // connection takes two.
+    constexpr std::size_t maxOpenPeers = 512;
     // ZeroMQ's high-water marks for each connection. A full send queue makes `send` drop the message; a full receive
     // queue stops reading from the connection.
     constexpr int maxSendQueueMessages = 4096;
