Look for slot holders only while a workspace lacks tokens

The list of holders was made for each active workspace every 10 ms, also while it had tokens. A lost reply now counts from the end of its own time limit, since it may be noticed later.

--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -27,7 +27,7 @@
     std::erase_if(this->pending, [this, now](const auto& item) {
         bool timedOut = now - item.second.sentAt > replyTimeout;
         if (timedOut) {
-            this->retryAt[item.first] = now + unresponsiveRetryDelay;
+            this->retryAt[item.first] = item.second.sentAt + replyTimeout + unresponsiveRetryDelay;
             ++this->counts.lost;
         }
         return timedOut;
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -290,6 +290,10 @@
 void Admission::requestTokens(const std::string& workspace, Account& account, TimePoint now)
 {
     std::int64_t missing = account.reserve->waiting.load() * milliPerToken - account.reserve->level.load();
+    if (missing <= 0) {
+        account.reserve->maxWaiting = maxWaitingRequests;
+        return;
+    }
     auto prefetch = static_cast<std::int64_t>(account.demand * prefetchSeconds * milliPerToken);
     std::vector<std::string> holders = this->otherHolders(account);
     auto query = account.requester.next(missing, prefetch, holders, this->nextRequestId + 1, now);
