--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -84,7 +84,17 @@
         fleet.begin(), fleet.end(), [own, slot](const std::string& name) { return stableHash(name, slot) < own; }));
 }
 
-void SlotKeeper::notifyChanged() { this->hooks.changed(this->slots, this->validUntil); }
+void SlotKeeper::notifyChanged()
+{
+    if (this->slots != this->loggedSlots) {
+        writeLog(LogLevel::Info, "slots_changed",
+            { { "slots", fmt::format("{}", this->slots.size()) },
+                { "before", fmt::format("{}", this->loggedSlots.size()) },
+                { "fair_share", fmt::format("{}", this->fairShare()) } });
+        this->loggedSlots = this->slots;
+    }
+    this->hooks.changed(this->slots, this->validUntil);
+}
 
 void SlotKeeper::dropIfExpired()
 {
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -88,6 +88,8 @@
     Options options;
     Hooks hooks;
     std::set<std::uint32_t> slots;
+    // Slots in the last "slots_changed" log line.
+    std::set<std::uint32_t> loggedSlots;
     // Slots that were not free when they were last read, or that this instance failed to claim since.
     std::set<std::uint32_t> takenByOthers;
     // Slots that an earlier run of this instance left in the store, and the revisions of their keys.
