Prefetch no part of a token

Change: only what is missing is rounded up. The test failed with 2,000, 2,000 and 4,000 millitokens before.

--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -14,10 +14,13 @@
     // Delay before the next request to a holder that did not reply in time.
     constexpr Milliseconds unresponsiveRetryDelay { 1000 };
 
-    // Rounded up, because a holder grants whole tokens only: a request for less than one would get nothing.
-    std::int64_t wholeTokens(std::int64_t milliTokens)
+    // Holders grant whole tokens only. What is missing is therefore rounded up, since a request for less than one token
+    // would get nothing. A part of a token is not prefetched, since the rest of that token would mostly expire unspent.
+    std::int64_t wholeTokens(std::int64_t missing, std::int64_t prefetch)
     {
-        return (milliTokens + milliPerToken - 1) / milliPerToken * milliPerToken;
+        std::int64_t needed = (missing + milliPerToken - 1) / milliPerToken;
+        std::int64_t expected = (missing + prefetch) / milliPerToken;
+        return std::max(needed, expected) * milliPerToken;
     }
 
 } // namespace
@@ -56,7 +59,7 @@
         missing -= request.milliTokens;
     if (missing <= 0)
         return std::nullopt;
-    std::int64_t wanted = wholeTokens(missing + prefetch);
+    std::int64_t wanted = wholeTokens(missing, prefetch);
     for (std::size_t i = 0; i < holders.size(); ++i) {
         const std::string& holder = holders[(this->firstHolder + i) % holders.size()];
         if (!this->mayAsk(holder, now))
--- a/src/libcore/token_requester_test.cpp
+++ b/src/libcore/token_requester_test.cpp
@@ -243,6 +243,14 @@
         EXPECT_GE(servedShare({ rate, rate, rate * 0.625, smallFleet }), minServedShare) << "rate " << rate;
 }
 
+TEST(TokenRequester, APartOfATokenIsNotPrefetchedOnlyToExpire)
+{
+    TimePoint now(milliseconds(1000));
+    EXPECT_EQ(TokenRequester().next(1000, 750, { "a" }, 1, now)->milliTokens, 1000);
+    EXPECT_EQ(TokenRequester().next(700, 750, { "a" }, 1, now)->milliTokens, 1000);
+    EXPECT_EQ(TokenRequester().next(1000, 2750, { "a" }, 1, now)->milliTokens, 3000);
+}
+
 // While a grant is outstanding, a share of one to three tokens is often too full to accrue.
 TEST(TokenRequester, AWorkspaceOfAFewRequestsASecondIsNotRefused)
 {
