Wait for a token at most a quarter of the route's latency objective

Callers saw: bookings, with an objective of 200 ms, waited up to 150 ms for a token and were served late, or refused when there was hardly time left to try again.

Cause: the limit that the design gives for waiting, a quarter of the objective, held for connections and members only. It now has one function for all of them.

Refusals come sooner and leave time for another try.

--- a/src/include/catkinlock/tables.h
+++ b/src/include/catkinlock/tables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinlock/error.h"
+#include <chrono>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -79,6 +80,10 @@
     auto operator<=>(const Route&) const = default;
 };
 
+/// How long a statement of the route may wait for capacity (a token of its workspace's rate, a connection, a free place
+/// at a member) before it is refused: a quarter of the latency objective, at least 50 ms.
+std::chrono::milliseconds capacityWait(const Route&);
+
 /// A tenant, with its rate limit over the whole fleet.
 struct Workspace {
     std::string name;
--- a/src/libcore/tables.cpp
+++ b/src/libcore/tables.cpp
@@ -121,6 +121,10 @@
             [](unsigned char c) { return std::isdigit(c); });
     }
 
+    // A statement waits for capacity for at most its route's latency objective divided by this.
+    constexpr int capacityWaitDivisor = 4;
+    // Lower bound of that wait, also used for routes without an objective.
+    constexpr std::chrono::milliseconds minCapacityWait { 50 };
     constexpr std::uint32_t maxConnectionsPerMember = 10000;
     // Requests per second for a rate, requests for a burst.
     constexpr std::uint32_t maxRate = 10000000;
@@ -205,6 +209,11 @@
 
 } // namespace
 
+std::chrono::milliseconds capacityWait(const Route& route)
+{
+    return std::max(std::chrono::milliseconds(route.latencyObjectiveMs) / capacityWaitDivisor, minCapacityWait);
+}
+
 tl::expected<Pool, Error> parsePool(const std::string& name, const std::string& text)
 {
     std::string path = "pool " + name;
--- a/src/libcore/tables_test.cpp
+++ b/src/libcore/tables_test.cpp
@@ -86,6 +86,18 @@
     EXPECT_NE(errorOf("pool/p", duplicateMember).find("members[1]"), std::string::npos);
 }
 
+// A statement that waits longer is late even if it is served then, and could have been refused in time to be retried.
+TEST(Tables, AStatementWaitsForCapacityAtMostAQuarterOfItsObjective)
+{
+    Route route;
+    route.latencyObjectiveMs = 600;
+    EXPECT_EQ(capacityWait(route), std::chrono::milliseconds(150));
+    route.latencyObjectiveMs = 200;
+    EXPECT_EQ(capacityWait(route), std::chrono::milliseconds(50));
+    route.latencyObjectiveMs = 0;
+    EXPECT_EQ(capacityWait(route), std::chrono::milliseconds(50));
+}
+
 TEST(Settings, ParsesAValidFile)
 {
     auto settings = parseSettings(validSettings, "a.toml");
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -230,7 +230,8 @@
     }
     bool startsNewOperation = this->runner.startsOperation(statement) && call->workspace != "-";
     if (startsNewOperation) {
-        auto admitted = co_await this->context->admission->admit(call->workspace, call->deadline);
+        TimePoint waitUntil = std::min(call->deadline, call->arrivedAt + capacityWait(call->route));
+        auto admitted = co_await this->context->admission->admit(call->workspace, waitUntil);
         if (!admitted) {
             TargetReply refusal;
             refusal.error = StatementError::Busy;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -21,10 +21,6 @@
     constexpr Milliseconds busyRetryDelay { 15 };
     // Part of the remaining time that the first attempt at a read may take, so that time is left to try another member.
     constexpr double firstReadTimeFraction = 0.6;
-    // A statement is refused once it has waited for capacity as long as the route's latency objective divided by this.
-    constexpr int capacityWaitDivisor = 4;
-    // Lower bound of that wait, also used for routes without an objective.
-    constexpr Milliseconds minCapacityWait { 50 };
     // A connection whose rollback takes longer is closed.
     constexpr Milliseconds rollbackTimeout { 500 };
 
@@ -34,12 +30,6 @@
         return std::max(left, Milliseconds(1));
     }
 
-    // How long a statement waits for a connection to a member, or for free capacity at the member.
-    Milliseconds capacityWait(const Route& route)
-    {
-        return std::max(Milliseconds(route.latencyObjectiveMs) / capacityWaitDivisor, minCapacityWait);
-    }
-
     // True for the errors by which a member refuses a statement before running any of it.
     bool isNotRun(StatementError error)
     {
