--- a/src/include/catkinlock/share_bucket.h
+++ b/src/include/catkinlock/share_bucket.h
@@ -20,7 +20,8 @@
 /// that each share can hold whole tokens and one request never has to collect parts of a token from several holders.
 ///
 /// While a change of the burst spreads, some instances use the previous number. Their shares and the new ones together
-/// exceed the larger burst by less than the smallest share, because shares differ little in size.
+/// exceed the larger burst by less than the smallest share, because shares differ little in size. The same holds for
+/// the rate as far as it changes in proportion to the burst.
 std::uint32_t shareCountFor(std::uint32_t burst);
 
 /// Time for which granted tokens may be spent, counted from the request for them.
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -69,6 +69,7 @@
     /// Adds the tokens that a peer granted, if the reply belongs to a pending request.
     void receiveTokenReply(const wire::TokenReply&);
 
+    /// For metrics; sums over all workspaces, deleted ones included.
     TokenTraffic tokenTraffic() const;
 
     /// Number of requests admitted and refused since the start; may be called on any thread.
