--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -230,7 +230,7 @@
     }
     bool startsNewOperation = this->runner.startsOperation(statement) && call->workspace != "-";
     if (startsNewOperation) {
-        TimePoint waitUntil = std::min(call->deadline, call->arrivedAt + capacityWait(call->route));
+        TimePoint waitUntil = call->endOfCapacityWait(call->arrivedAt);
         auto admitted = co_await this->context->admission->admit(call->workspace, waitUntil);
         if (!admitted) {
             TargetReply refusal;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -323,7 +323,7 @@
 {
     ++this->attempts;
     this->memberId = placement.pool->target().id;
-    TimePoint waitUntil = std::min(call.deadline, Clock::now() + capacityWait(call.route));
+    TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
     auto link = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil);
     Attempt attempt;
     if (!link) {
@@ -414,7 +414,7 @@
         ++this->attempts;
         this->memberId = placement->pool->target().id;
         tried.insert(this->memberId);
-        TimePoint waitUntil = std::min(call.deadline, Clock::now() + capacityWait(call.route));
+        TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
         auto link = co_await placement->pool->borrow(call.workspace, call.route.priority, waitUntil);
         if (!link) {
             failure.errorText = link.error().message;
@@ -442,7 +442,7 @@
     }
     if (stateApplied)
         reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
-    TimePoint waitUntil = std::min(call.deadline, Clock::now() + capacityWait(call.route));
+    TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
     while (stateApplied && reply && reply->error == StatementError::Busy && Clock::now() + busyRetryDelay < waitUntil
         && this->mayStillRun(placement, call)) {
         placement.pool->recordBusy();
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -7,6 +7,7 @@
 #include "catkinlock/target_message.h"
 #include "libsession/session_context.h"
 #include "libsession/target_groups.h"
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <map>
@@ -21,6 +22,12 @@
     std::string workspace;
     TimePoint arrivedAt;
     TimePoint deadline;
+    /// End of a wait for capacity that begins at `now`: after the route's `capacityWait`, at the latest at the
+    /// deadline.
+    TimePoint endOfCapacityWait(TimePoint now) const
+    {
+        return std::min(this->deadline, now + capacityWait(this->route));
+    }
     /// False once the caller may no longer run the statement. Checked again just before the statement is sent to a
     /// member, because it may have waited for a connection since it was admitted.
     std::function<bool()> isAllowed;
