Count token requests without handing the id back and forth

Ids only have to be new, so one that is not used may be skipped. Named like the other counters of ids. admission_test (3) and token_requester_test pass as before.

--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -85,7 +85,7 @@
     , link(std::move(link))
     , membership(std::move(membership))
     , heldSlotsValidUntil(Clock::now())
-    , nextRequestId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
+    , lastRequestId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
 {
 }
 
@@ -296,9 +296,8 @@
     }
     auto prefetch = static_cast<std::int64_t>(account.demand * prefetchSeconds * milliPerToken);
     std::vector<std::string> holders = this->otherHolders(account);
-    auto query = account.requester.next(missing, prefetch, holders, this->nextRequestId + 1, now);
+    auto query = account.requester.next(missing, prefetch, holders, ++this->lastRequestId, now);
     if (query) {
-        this->nextRequestId = query->id;
         wire::Envelope envelope;
         wire::TokenRequest& request = *envelope.mutable_token_request();
         request.set_id(query->id);
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -118,7 +118,7 @@
     std::set<std::uint32_t> heldSlots;
     TimePoint heldSlotsValidUntil;
     std::uint32_t slotCount = 1;
-    std::uint64_t nextRequestId;
+    std::uint64_t lastRequestId;
     bool stopped = false;
     std::atomic<std::uint64_t> admittedCount { 0 };
     std::atomic<std::uint64_t> refusedCount { 0 };
