Grant whole tokens only

Since a rate is divided by the size of its burst, each share holds at least one token (a burst is at least 1, and a share of a divided one at least 4), so the case of a holder that grants parts of a token could no longer occur.

--- a/src/include/catkinlock/share_bucket.h
+++ b/src/include/catkinlock/share_bucket.h
@@ -67,10 +67,9 @@
     /// Sets the number of units held and the end of the lease on them, and returns the new level. Added units bring no
     /// tokens; removing units may reduce the level. Call `advance` first.
     std::int64_t setUnits(std::uint64_t units, TimePoint validUntil, std::int64_t level);
-    /// Grants up to `wanted` millitokens of those that accrued here and deducts them from `level`. `reserved`
-    /// millitokens are retained. The amount is rounded down to whole tokens, unless the units held are so few that
-    /// their burst is less than a token. Returns a grant of 0 millitokens if no tokens can be granted. Call
-    /// `advance` first.
+    /// Grants up to `wanted` millitokens of those that accrued here, rounded down to whole tokens, and deducts them
+    /// from `level`. `reserved` millitokens are retained. Returns a grant of 0 millitokens if no token can be granted.
+    /// Call `advance` first.
     TokenGrant grant(TimePoint now, std::int64_t wanted, std::int64_t reserved, std::int64_t& level);
     /// Adds a grant that was requested at `requestedAt` and returns the new level. An expired grant has no effect. The
     /// caller must discard duplicates of a grant. Call `advance` first.
--- a/src/libcore/share_bucket.cpp
+++ b/src/libcore/share_bucket.cpp
@@ -180,11 +180,8 @@
     std::int64_t available = level - this->receivedMilliTokens() - reserved;
     std::int64_t allowance = this->maxGranted(this->ownUnits) - this->grantedMilliTokens();
     std::int64_t amount = std::min({ wanted, available, allowance });
-    // A fraction of a token is useless to a receiver that cannot obtain the rest. Only a holder that can never hold a
-    // whole token grants fractions.
-    bool grantsFractions = this->burstOf(this->ownUnits) < milliPerToken;
-    if (!grantsFractions)
-        amount -= amount % milliPerToken;
+    // A fraction of a token is useless to a receiver that cannot obtain the rest.
+    amount -= amount % milliPerToken;
     if (amount <= 0)
         return {};
     this->outstandingGrants.push_back({ amount, now + grantDuration + holderMargin });
