Run the copy of the store and its relays on a time source

StoreMirror and ViewRelay read the time and wait through TimeSource, and the relay sends through PeerSender, which PeerLink implements, so that both run on virtual time with sources that are cut, silent or late.

relay_test, store_restore_test and leader_tenure_test pass as before.

--- a/src/include/catkinlock/peer_link.h
+++ b/src/include/catkinlock/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/peer_sender.h"
 #include <array>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
@@ -12,21 +13,17 @@
 class io_context;
 }
 
-namespace catkinlock::wire {
-class Envelope;
-}
-
 namespace catkinlock {
 
 /// Exchanges messages with other instances: protobuf over ZeroMQ, each message preceded by an HMAC-SHA-256 with the
 /// fleet's secret. Sending never blocks. Messages may be lost, delayed or duplicated, so users of the link must
 /// tolerate all three. Used from one thread, which runs the given context.
-class PeerLink : public std::enable_shared_from_this<PeerLink> {
+class PeerLink : public PeerSender, public std::enable_shared_from_this<PeerLink> {
 public:
     using Handler = std::function<void(const wire::Envelope&)>;
 
     PeerLink(boost::asio::io_context&, std::string secret);
-    ~PeerLink();
+    ~PeerLink() override;
 
     /// Binds to "ip:port" and returns the bound address, in which a port of 0 is replaced by the one that the kernel
     /// chose. Empty if the address can't be bound.
@@ -36,9 +33,8 @@
     void start(Handler handler);
     /// Stops receiving.
     void stop();
-    /// Sends to the instance that listens on `address`, "ip:port"; sets the envelope's version and sender. Returns
-    /// false if the message was dropped here and no part of it was sent. Only on the context's thread.
-    bool send(const std::string& address, wire::Envelope&);
+    /// Only on the context's thread.
+    bool send(const std::string& address, wire::Envelope&) override;
 
     /// A message's kind is the field number of its body in `Envelope` of peer.proto, below `kindCount`.
     static constexpr std::size_t kindCount = 32;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -20,6 +20,7 @@
 #include "libsession/slot_directory.h"
 #include "libsession/spawn.h"
 #include "libsession/store_mirror.h"
+#include "libsession/system_time.h"
 #include "libsession/target_groups.h"
 #include "libsession/view_builder.h"
 #include "libsession/view_relay.h"
@@ -94,6 +95,7 @@
     asio::io_context control { 1 };
     // Context of the request thread: sessions and connections to members.
     asio::io_context requests { 1 };
+    std::shared_ptr<TimeSource> time = std::make_shared<SystemTime>(this->control);
     InstanceLifecycle lifecycle;
     SessionPlatform platform;
     std::shared_ptr<ViewFreshness> freshness;
@@ -141,12 +143,14 @@
                 asio::post(this->requests,
                     [groups = this->sessions->groups, member, observation] { groups->recordLag(member, observation); });
             } });
-    this->relay = std::make_shared<ViewRelay>(this->control, this->link, this->freshness,
-        ViewRelay::Hooks { [this] { return this->builder.lostConfiguration(); },
-            [this](const KeyValue& document) { this->learnConfiguration(document); } });
+    this->relay
+        = std::make_shared<ViewRelay>(this->control, ViewRelay::Parts { this->link, this->time, this->freshness },
+            ViewRelay::Hooks { [this] { return this->builder.lostConfiguration(); },
+                [this](const KeyValue& document) { this->learnConfiguration(document); } });
     this->records = std::make_shared<RecordKeeper>(
         this->control, this->platform.store, [this] { return this->builder.lostRecords(); });
-    this->mirror = std::make_shared<StoreMirror>(this->control, this->platform.store, this->relay, this->freshness,
+    this->mirror = std::make_shared<StoreMirror>(this->control,
+        StoreMirror::Parts { this->platform.store, this->relay, this->freshness, this->time },
         StoreMirror::Hooks { [this] { this->applyStoreChange(); }, [this] { return this->relayPlan(); } });
     auto executor = this->requests.get_executor();
     this->sessions->executor = executor;
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -5,6 +5,7 @@
 #include "libsession/position_exchange.h"
 #include "libsession/relay_choice.h"
 #include "libsession/slot_directory.h"
+#include "libsession/system_time.h"
 #include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
@@ -45,7 +46,8 @@
     explicit Peer(boost::asio::io_context& context)
         : link(std::make_shared<PeerLink>(context, secret))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(context, this->link, this->freshness))
+        , relay(std::make_shared<ViewRelay>(
+              context, ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context), this->freshness }))
     {
         this->address = this->link->bind("127.0.0.1:0");
         this->link->start([this](const wire::Envelope& envelope) {
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/log.h"
 #include "catkinlock/store_revision.h"
 #include "libsession/spawn.h"
+#include "libsession/time_source.h"
 #include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include <boost/asio.hpp>
@@ -42,12 +43,9 @@
 
 } // namespace
 
-StoreMirror::StoreMirror(asio::io_context& context, std::shared_ptr<PolledStore> store,
-    std::shared_ptr<ViewRelay> relay, std::shared_ptr<ViewFreshness> freshness, Hooks hooks)
+StoreMirror::StoreMirror(asio::io_context& context, Parts parts, Hooks hooks)
     : context(context)
-    , store(std::move(store))
-    , freshness(std::move(freshness))
-    , relay(std::move(relay))
+    , parts(std::move(parts))
     , hooks(std::move(hooks))
 {
 }
@@ -73,14 +71,14 @@
     if (!this->consecutiveFailures)
         writeLog(LogLevel::Warning, "store_lost",
             { { "reason", message },
-                { "view_age_ms", fmt::format("{}", this->freshness->age(Clock::now()).count()) } });
+                { "view_age_ms", fmt::format("{}", this->parts.freshness->age(this->parts.time->now()).count()) } });
     Milliseconds time
         = std::min(minRetryDelay * (1 << std::min(this->consecutiveFailures, maxDoublings)), maxRetryDelay);
     ++this->consecutiveFailures;
     // Other instances may still reach the store, so this one follows a relay for a while.
     if (this->consecutiveFailures >= failuresUntilBackoff)
-        this->storeRetryAt = Clock::now() + storeBackoff;
-    co_await this->sleepFor(time);
+        this->storeRetryAt = this->parts.time->now() + storeBackoff;
+    co_await this->parts.time->sleepFor(time);
 }
 
 void StoreMirror::recordStoreReached()
@@ -93,8 +91,8 @@
 
 asio::awaitable<bool> StoreMirror::load()
 {
-    TimePoint requestedAt = Clock::now();
-    auto range = co_await this->store->readPrefix("");
+    TimePoint requestedAt = this->parts.time->now();
+    auto range = co_await this->parts.store->readPrefix("");
     if (!range) {
         co_await this->backOff(range.error().message);
         co_return false;
@@ -104,9 +102,9 @@
     if (!this->copy.replace(std::move(*range)))
         co_return false;
     if (before && !StoreRevision::sameEra(before, this->copy.revision()))
-        this->learnedOfRestoreAt = Clock::now();
-    this->freshness->confirm(requestedAt);
-    this->relay->restart(this->copy.revision());
+        this->learnedOfRestoreAt = this->parts.time->now();
+    this->parts.freshness->confirm(requestedAt);
+    this->parts.relay->restart(this->copy.revision());
     writeLog(LogLevel::Info, "store_read",
         { { "era", text(StoreRevision::fromSequence(this->copy.revision()).era) },
             { "revision", text(StoreRevision::fromSequence(this->copy.revision()).number) },
@@ -132,7 +130,7 @@
 // Polls the store or a relay once. Returns false if the whole store has to be read again.
 asio::awaitable<bool> StoreMirror::poll()
 {
-    std::string address = this->selectRelay(Clock::now());
+    std::string address = this->selectRelay(this->parts.time->now());
     if (address.empty())
         co_return co_await this->pollStore();
     co_return co_await this->pollRelay(address);
@@ -140,15 +138,15 @@
 
 void StoreMirror::skipRelay(const std::string& address)
 {
-    this->relayRetryAt[address] = Clock::now() + relayBackoff;
+    this->relayRetryAt[address] = this->parts.time->now() + relayBackoff;
     writeLog(LogLevel::Info, "relay_lost",
-        { { "relay", address }, { "view_age_ms", text(this->freshness->age(Clock::now()).count()) } });
+        { { "relay", address }, { "view_age_ms", text(this->parts.freshness->age(this->parts.time->now()).count()) } });
 }
 
 asio::awaitable<bool> StoreMirror::pollRelay(std::string address)
 {
-    bool urgent = this->freshness->age(Clock::now()) > urgentAfter;
-    auto response = co_await this->relay->requestChanges(
+    bool urgent = this->parts.freshness->age(this->parts.time->now()) > urgentAfter;
+    auto response = co_await this->parts.relay->requestChanges(
         address, this->copy.revision(), urgent ? Milliseconds(0) : relayPollWait);
     if (!response) {
         this->skipRelay(address);
@@ -160,16 +158,16 @@
     else if (merge == StoreCopy::Merge::Changed)
         co_await this->awaitBatch();
     else if (merge == StoreCopy::Merge::ReadAgain)
-        co_await this->sleepFor(minRetryDelay);
+        co_await this->parts.time->sleepFor(minRetryDelay);
     else if (merge == StoreCopy::Merge::Confirmed && urgent)
-        co_await this->sleepFor(urgentRetryDelay);
+        co_await this->parts.time->sleepFor(urgentRetryDelay);
     co_return merge != StoreCopy::Merge::ReadAgain;
 }
 
 asio::awaitable<bool> StoreMirror::pollStore()
 {
-    TimePoint requestedAt = Clock::now();
-    auto response = co_await this->store->changesAfter(
+    TimePoint requestedAt = this->parts.time->now();
+    auto response = co_await this->parts.store->changesAfter(
         "", this->copy.revision(), this->consecutiveFailures ? probeWait : storePollWait);
     if (!response) {
         co_await this->backOff(response.error().message);
@@ -191,20 +189,14 @@
                 { "revision", text(StoreRevision::fromSequence(this->copy.revision()).number) } });
     if (merge == StoreCopy::Merge::ReadAgain || merge == StoreCopy::Merge::Ignored)
         return merge;
-    this->freshness->confirm(confirmedAt);
-    this->relay->append(response);
+    this->parts.freshness->confirm(confirmedAt);
+    this->parts.relay->append(response);
     if (merge == StoreCopy::Merge::Changed)
         this->hooks.changed();
     return merge;
 }
 
 // Changes often occur in bursts. The delay lets the next poll return several of them instead of one.
-asio::awaitable<void> StoreMirror::awaitBatch() { return this->sleepFor(batchDelay); }
-
-asio::awaitable<void> StoreMirror::sleepFor(Milliseconds time)
-{
-    asio::steady_timer timer(this->context, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
+asio::awaitable<void> StoreMirror::awaitBatch() { return this->parts.time->sleepFor(batchDelay); }
 
 } // namespace catkinlock
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -14,6 +14,7 @@
 
 namespace catkinlock {
 
+class TimeSource;
 class ViewRelay;
 
 /// Keeps a local copy of all keys of the metadata store, from the store itself or through a relay, and records each
@@ -21,6 +22,12 @@
 /// restored from an older copy. Runs on the control thread.
 class StoreMirror : public std::enable_shared_from_this<StoreMirror> {
 public:
+    struct Parts {
+        std::shared_ptr<PolledStore> store;
+        std::shared_ptr<ViewRelay> relay;
+        std::shared_ptr<ViewFreshness> freshness;
+        std::shared_ptr<TimeSource> time;
+    };
     struct Hooks {
         /// Called after the copy has changed.
         std::function<void()> changed;
@@ -28,8 +35,7 @@
         std::function<RelayPlan()> plan;
     };
 
-    StoreMirror(boost::asio::io_context&, std::shared_ptr<PolledStore>, std::shared_ptr<ViewRelay>,
-        std::shared_ptr<ViewFreshness>, Hooks);
+    StoreMirror(boost::asio::io_context&, Parts, Hooks);
 
     void start();
     /// Starts no further poll; a running one is completed.
@@ -53,14 +59,11 @@
     std::string selectRelay(TimePoint now) const;
     StoreCopy::Merge applyChanges(const KeyChanges&, TimePoint confirmedAt);
     boost::asio::awaitable<void> awaitBatch();
-    boost::asio::awaitable<void> sleepFor(Milliseconds);
     boost::asio::awaitable<void> backOff(const std::string& message);
     void recordStoreReached();
 
     boost::asio::io_context& context;
-    std::shared_ptr<PolledStore> store;
-    std::shared_ptr<ViewFreshness> freshness;
-    std::shared_ptr<ViewRelay> relay;
+    Parts parts;
     Hooks hooks;
     // The store is skipped until this time if a relay is available.
     TimePoint storeRetryAt;
--- a/src/libsession/store_restore_test.cpp
+++ b/src/libsession/store_restore_test.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/peer_link.h"
 #include "libsession/store_mirror.h"
+#include "libsession/system_time.h"
 #include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
@@ -25,10 +26,11 @@
 // An instance's copy of the store, read from the store itself or through the relay at `follows`.
 struct Instance {
     Instance(asio::io_context& context, const std::string& storeAddress, std::string follows = "")
-        : link(std::make_shared<PeerLink>(context, secret))
+        : time(std::make_shared<SystemTime>(context))
+        , link(std::make_shared<PeerLink>(context, secret))
         , store(std::make_shared<platform::KvStore>(context, storeAddress))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(context, this->link, this->freshness))
+        , relay(std::make_shared<ViewRelay>(context, ViewRelay::Parts { this->link, this->time, this->freshness }))
     {
         this->plan.pollsStore = follows.empty();
         if (!follows.empty())
@@ -40,7 +42,8 @@
             if (envelope.has_changes_reply())
                 this->relay->receiveReply(envelope.changes_reply());
         });
-        this->mirror = std::make_shared<StoreMirror>(context, this->store, this->relay, this->freshness,
+        this->mirror = std::make_shared<StoreMirror>(context,
+            StoreMirror::Parts { this->store, this->relay, this->freshness, this->time },
             StoreMirror::Hooks { [] {}, [this] { return this->plan; } });
         this->mirror->start();
     }
@@ -53,6 +56,7 @@
         return values;
     }
 
+    std::shared_ptr<TimeSource> time;
     std::shared_ptr<PeerLink> link;
     std::shared_ptr<platform::KvStore> store;
     std::shared_ptr<ViewFreshness> freshness;
@@ -231,7 +235,8 @@
     // A relay that still has the first era, with higher revisions.
     auto link = std::make_shared<PeerLink>(this->context, secret);
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(4700));
-    auto behind = std::make_shared<ViewRelay>(this->context, link, freshness);
+    auto behind = std::make_shared<ViewRelay>(
+        this->context, ViewRelay::Parts { link, std::make_shared<SystemTime>(this->context), freshness });
     std::string address = link->bind("127.0.0.1:0");
     unsigned requests = 0;
     link->start([&](const wire::Envelope& envelope) {
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -1,7 +1,9 @@
 #include "libsession/view_relay.h"
 
-#include "catkinlock/peer_link.h"
+#include "catkinlock/peer_sender.h"
 #include "catkinlock/store_revision.h"
+#include "libsession/spawn.h"
+#include "libsession/time_source.h"
 #include "libsession/view_freshness.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
@@ -26,23 +28,28 @@
 
 struct ViewRelay::PendingRequest {
     explicit PendingRequest(asio::io_context& context)
-        : timer(context)
+        : ended(context, asio::steady_timer::time_point::max())
     {
     }
-    asio::steady_timer timer;
+    // Cancelled when the reply has arrived or the request has timed out.
+    asio::steady_timer ended;
     TimePoint sentAt;
     // The revision after which changes are requested.
     std::int64_t after = 0;
     std::optional<RelayedChanges> reply;
 };
 
-ViewRelay::ViewRelay(
-    asio::io_context& context, std::shared_ptr<PeerLink> link, std::shared_ptr<ViewFreshness> freshness, Hooks hooks)
+asio::awaitable<void> ViewRelay::endAfter(
+    std::shared_ptr<TimeSource> time, std::shared_ptr<PendingRequest> pending, Milliseconds limit)
+{
+    co_await time->sleepFor(limit);
+    pending->ended.cancel();
+}
+
+ViewRelay::ViewRelay(asio::io_context& context, Parts parts, Hooks hooks)
     : context(context)
-    , link(std::move(link))
-    , freshness(std::move(freshness))
+    , parts(std::move(parts))
     , hooks(std::move(hooks))
-    , holdTimer(context)
     , lastRequestId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
 {
 }
@@ -59,11 +66,11 @@
     this->replyToHeldRequests();
 }
 
-bool ViewRelay::isFreshEnough(TimePoint now) const { return this->freshness->age(now) < maxServedViewAge; }
+bool ViewRelay::isFreshEnough(TimePoint now) const { return this->parts.freshness->age(now) < maxServedViewAge; }
 
 void ViewRelay::sendReply(const HeldRequest& request)
 {
-    TimePoint now = Clock::now();
+    TimePoint now = this->parts.time->now();
     bool sameEra = StoreRevision::sameEra(request.after, this->log.revision());
     auto changes = sameEra ? this->log.since(request.after) : std::nullopt;
     wire::Envelope envelope;
@@ -77,11 +84,11 @@
     }
     if (!changes || !this->isFreshEnough(now)) {
         reply.set_unavailable(true);
-        this->link->send(request.sender, envelope);
+        this->parts.link->send(request.sender, envelope);
         return;
     }
     // Rounded up, because a view must never appear fresher than it is.
-    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->freshness->age(now).count()) + 1);
+    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->parts.freshness->age(now).count()) + 1);
     for (const KeyValue& change : *changes) {
         wire::TableEntry& entry = *reply.add_changes();
         entry.set_key(change.key);
@@ -89,7 +96,7 @@
         entry.set_revision(change.revision);
         entry.set_deleted(change.deleted);
     }
-    this->link->send(request.sender, envelope);
+    this->parts.link->send(request.sender, envelope);
 }
 
 void ViewRelay::replyToHeldRequests()
@@ -100,7 +107,7 @@
 
 void ViewRelay::receiveRequest(const std::string& sender, const wire::ChangesRequest& request)
 {
-    TimePoint now = Clock::now();
+    TimePoint now = this->parts.time->now();
     Milliseconds wait(std::min(request.wait_ms(), maxHoldMs));
     HeldRequest held { sender, request.id(), request.after_revision(), now + wait };
     bool otherEra = !StoreRevision::sameEra(held.after, this->log.revision());
@@ -111,14 +118,16 @@
     this->heldRequests.push_back(held);
     if (this->heldRequests.size() > 1)
         return;
-    // A single timer serves all held requests: later ones get their reply when the first one's wait is over, or earlier
-    // with the next confirmation.
-    this->holdTimer.expires_after(wait);
-    this->holdTimer.async_wait([weak = this->weak_from_this()](boost::system::error_code error) {
-        auto self = weak.lock();
-        if (!error && self)
-            self->replyToHeldRequests();
-    });
+    // Later requests get their reply when the first one's wait is over, or earlier with the next confirmation.
+    spawn(this->context, [self = this->shared_from_this(), wait] { return self->replyAfter(wait); });
+}
+
+asio::awaitable<void> ViewRelay::replyAfter(Milliseconds wait)
+{
+    auto self = this->shared_from_this();
+    co_await this->parts.time->sleepFor(wait);
+    if (!this->heldRequests.empty() && this->heldRequests.front().until <= this->parts.time->now())
+        this->replyToHeldRequests();
 }
 
 void ViewRelay::receiveReply(const wire::ChangesReply& reply)
@@ -144,7 +153,7 @@
         relayed.confirmedAt = pending->sentAt - Milliseconds(reply.confirmed_age_ms());
         pending->reply = std::move(relayed);
     }
-    pending->timer.cancel();
+    pending->ended.cancel();
 }
 
 asio::awaitable<std::optional<RelayedChanges>> ViewRelay::requestChanges(
@@ -152,7 +161,7 @@
 {
     auto self = this->shared_from_this();
     auto pending = std::make_shared<PendingRequest>(this->context);
-    pending->sentAt = Clock::now();
+    pending->sentAt = this->parts.time->now();
     pending->after = after;
     std::uint64_t id = ++this->lastRequestId;
     this->pendingRequests[id] = pending;
@@ -161,10 +170,12 @@
     request.set_id(id);
     request.set_after_revision(after);
     request.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
-    pending->timer.expires_after(wait + networkMargin);
-    bool sent = this->link->send(address, envelope);
-    if (sent)
-        co_await pending->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (this->parts.link->send(address, envelope)) {
+        spawn(this->context, [time = this->parts.time, pending, limit = wait + networkMargin] {
+            return endAfter(time, pending, limit);
+        });
+        co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     this->pendingRequests.erase(id);
     co_return pending->reply;
 }
--- a/src/libsession/view_relay.h
+++ b/src/libsession/view_relay.h
@@ -5,7 +5,6 @@
 #include "libsession/change_log.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,7 +18,8 @@
 
 namespace catkinlock {
 
-class PeerLink;
+class PeerSender;
+class TimeSource;
 class ViewFreshness;
 
 /// A relay's reply to a follower.
@@ -35,6 +35,11 @@
 /// follower never takes its own view for fresher than it is. Runs on the control thread.
 class ViewRelay : public std::enable_shared_from_this<ViewRelay> {
 public:
+    struct Parts {
+        std::shared_ptr<PeerSender> link;
+        std::shared_ptr<TimeSource> time;
+        std::shared_ptr<ViewFreshness> freshness;
+    };
     struct Hooks {
         /// The newest configuration that this instance knows, if the store has only an older one.
         std::function<std::optional<KeyValue>()> lostConfiguration;
@@ -42,7 +47,7 @@
         std::function<void(const KeyValue&)> learn;
     };
 
-    ViewRelay(boost::asio::io_context&, std::shared_ptr<PeerLink>, std::shared_ptr<ViewFreshness>, Hooks = {});
+    ViewRelay(boost::asio::io_context&, Parts, Hooks = {});
 
     /// Clears the change log, after the whole store was read again at `revision`. Replies to all held requests.
     void restart(std::int64_t revision);
@@ -72,17 +77,19 @@
     // A request of this instance that waits for its reply.
     struct PendingRequest;
 
+    static boost::asio::awaitable<void> endAfter(
+        std::shared_ptr<TimeSource>, std::shared_ptr<PendingRequest>, Milliseconds limit);
+
     void sendReply(const HeldRequest&);
     void replyToHeldRequests();
+    boost::asio::awaitable<void> replyAfter(Milliseconds wait);
     bool isFreshEnough(TimePoint now) const;
 
     boost::asio::io_context& context;
-    std::shared_ptr<PeerLink> link;
-    std::shared_ptr<ViewFreshness> freshness;
+    Parts parts;
     Hooks hooks;
     ChangeLog log;
     std::vector<HeldRequest> heldRequests;
-    boost::asio::steady_timer holdTimer;
     std::map<std::uint64_t, std::shared_ptr<PendingRequest>> pendingRequests;
     std::uint64_t lastRequestId = 0;
 };
