--- /dev/null
+++ b/src/libsession/view_supply_test.cpp
@@ -0,0 +1,235 @@
+// Generated and planned schedules of the supply of views: copies of the store, relays and followers under disruptions.
+
+#include "libsession/view_supply_simulation.h"
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace catkinlock;
+using namespace catkinlock::simulation;
+
+namespace {
+
+using Kind = SupplyDisruption::Kind;
+using Scope = SupplyDisruption::Scope;
+
+// The rules' bounds of a site: how soon a version is in force, and how long an instance has to be undisturbed before.
+struct SiteBounds {
+    Milliseconds configApply { 0 };
+    Milliseconds contact { 0 };
+};
+
+constexpr SiteBounds smallSite { Milliseconds(3000), Milliseconds(4000) };
+constexpr SiteBounds largeSite { Milliseconds(5000), Milliseconds(5000) };
+// The share of the store's calls that the supply of views may take on a small site, in any second.
+constexpr std::size_t maxCallsInASecond = 2000;
+// Calls of a relay in a second without changes.
+constexpr std::size_t maxIdleCallsInASecond = 5;
+// By then all instances have read the store, without disruptions.
+constexpr Milliseconds loadedBy { 1000 };
+
+rc::Gen<Milliseconds> milliseconds(int least, int greatest)
+{
+    return rc::gen::map(rc::gen::inRange(least, greatest + 1), [](int count) { return Milliseconds(count); });
+}
+
+rc::Gen<WriteBurst> anyBurst()
+{
+    auto single = rc::gen::build<WriteBurst>(rc::gen::set(&WriteBurst::from, milliseconds(300, 12'000)));
+    auto storm = rc::gen::build<WriteBurst>(rc::gen::set(&WriteBurst::from, milliseconds(300, 10'000)),
+        rc::gen::set(&WriteBurst::count, rc::gen::inRange(2, 40)),
+        rc::gen::set(&WriteBurst::interval, milliseconds(30, 100)));
+    return rc::gen::weightedOneOf<WriteBurst>({ { 4, single }, { 1, storm } });
+}
+
+int greatestAmount(Kind kind)
+{
+    if (kind == Kind::SlowStore || kind == Kind::LatePeers)
+        return 1500;
+    return kind == Kind::StaleConnections ? 3 : 100;
+}
+
+rc::Gen<SupplyDisruption> disruptionOf(std::vector<Kind> kinds, rc::Gen<Scope> scope)
+{
+    return rc::gen::mapcat(rc::gen::elementOf(kinds), [scope](Kind kind) {
+        bool losesMessages = kind == Kind::LosesSent || kind == Kind::LosesReceived || kind == Kind::LosesBoth;
+        int greatest = kind == Kind::Restore ? 5000 : greatestAmount(kind);
+        return rc::gen::build<SupplyDisruption>(rc::gen::set(&SupplyDisruption::kind, rc::gen::just(kind)),
+            rc::gen::set(&SupplyDisruption::scope, scope),
+            // Mostly a relay.
+            rc::gen::set(&SupplyDisruption::rank,
+                rc::gen::weightedOneOf<int>({ { 3, rc::gen::inRange(0, 4) }, { 1, rc::gen::inRange(0, 24) } })),
+            rc::gen::set(&SupplyDisruption::from, milliseconds(500, 11'000)),
+            rc::gen::set(&SupplyDisruption::lasts, milliseconds(100, 7000)),
+            rc::gen::set(&SupplyDisruption::amount, rc::gen::inRange(losesMessages ? 50 : 1, greatest + 1)));
+    });
+}
+
+rc::Gen<SupplyDisruption> anyDisruption()
+{
+    std::vector<Kind> ofInstances { Kind::SilentStore, Kind::RefusingStore, Kind::StaleConnections, Kind::SlowStore,
+        Kind::LosesSent, Kind::LosesReceived, Kind::LosesBoth, Kind::LatePeers, Kind::Suspend, Kind::Kill };
+    std::vector<Kind> ofStore { Kind::SilentStore, Kind::RefusingStore, Kind::SlowStore, Kind::Compaction,
+        Kind::Restore };
+    return rc::gen::weightedOneOf<SupplyDisruption>(
+        { { 6, disruptionOf(ofInstances, rc::gen::just(Scope::OneInstance)) },
+            { 3, disruptionOf(ofInstances, rc::gen::element(Scope::AllRelays, Scope::AllButOneFollower)) },
+            { 1, disruptionOf(ofStore, rc::gen::just(Scope::Store)) } });
+}
+
+rc::Gen<SupplyPlan> anyPlan()
+{
+    return rc::gen::mapcat(rc::gen::inRange(2, 5), [](int dataCentres) {
+        return rc::gen::build<SupplyPlan>(
+            rc::gen::set(&SupplyPlan::instances, rc::gen::inRange(std::max(3, dataCentres), 25)),
+            rc::gen::set(&SupplyPlan::dataCentres, rc::gen::just(dataCentres)), rc::gen::set(&SupplyPlan::uneven),
+            rc::gen::set(&SupplyPlan::seed, rc::gen::inRange(0U, 1'000'000U)),
+            rc::gen::set(&SupplyPlan::writes,
+                rc::gen::mapcat(rc::gen::inRange<std::size_t>(2, 7),
+                    [](std::size_t count) { return rc::gen::container<std::vector<WriteBurst>>(count, anyBurst()); })),
+            rc::gen::set(
+                &SupplyPlan::disruptions, rc::gen::mapcat(rc::gen::inRange<std::size_t>(0, 5), [](std::size_t count) {
+                    return rc::gen::container<std::vector<SupplyDisruption>>(count, anyDisruption());
+                })));
+    });
+}
+
+// The events of a run as seen by one instance.
+std::string eventsOf(SupplyPlan plan, int instance)
+{
+    plan.traced = instance;
+    return simulateSupply(plan).events;
+}
+
+// Writes a version each 250 ms, so that no time of the run goes unjudged.
+SupplyPlan steadilyWritten(std::vector<SupplyDisruption> disruptions)
+{
+    SupplyPlan plan;
+    plan.instances = 13;
+    plan.dataCentres = 3;
+    plan.seed = 1;
+    plan.writes.push_back({ Milliseconds(300), 56, Milliseconds(250) });
+    plan.disruptions = std::move(disruptions);
+    return plan;
+}
+
+SupplyDisruption ofRelays(Kind kind, Scope scope, int amount = 0)
+{
+    SupplyDisruption disruption;
+    disruption.kind = kind;
+    disruption.scope = scope;
+    disruption.from = Milliseconds(5000);
+    disruption.lasts = Milliseconds(8000);
+    disruption.amount = amount;
+    return disruption;
+}
+
+// Runs a plan with several seeds of the delays and judges it by the bounds of a site.
+void expectInTime(SupplyPlan plan, const SiteBounds& bounds)
+{
+    for (plan.seed = 1; plan.seed <= 20; ++plan.seed) {
+        SupplyRun run = simulateSupply(plan);
+        SupplyDelay longest = run.longestDelay(bounds.contact);
+        ASSERT_LE(longest.length, bounds.configApply) << plan << longest << "\n" << eventsOf(plan, longest.instance);
+        ASSERT_EQ(run.faults, "") << plan;
+        ASSERT_LE(run.mostCallsInASecond(), maxCallsInASecond) << plan;
+    }
+}
+
+// Calls that a relay may make in a second: each poll ends with a change or at the end of its hold time.
+std::size_t maxCallsOfRelay(const SupplyRun& run)
+{
+    std::size_t most = 0;
+    for (const Version& first : run.versions) {
+        std::size_t within = 0;
+        for (const Version& next : run.versions)
+            within += next.writtenAt >= first.writtenAt && next.writtenAt < first.writtenAt + Milliseconds(1100);
+        most = std::max(most, within);
+    }
+    return most + maxIdleCallsInASecond;
+}
+
+void judgeGenerated(const SupplyPlan& plan, const SiteBounds& bounds)
+{
+    SupplyRun run = simulateSupply(plan);
+    SupplyDelay longest = run.longestDelay(bounds.contact);
+    if (longest.length > bounds.configApply)
+        RC_FAIL((std::ostringstream() << plan << longest << "\n" << eventsOf(plan, longest.instance)).str());
+    RC_CLASSIFY(longest.length > bounds.configApply / 2, "over half of the bound");
+}
+
+} // namespace
+
+// Guards against the incident: relays that have lost the store in silence keep their followers.
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenAllRelaysLoseTheStoreInSilence)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::SilentStore, Scope::AllRelays) }), smallSite);
+}
+
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenOneRelayLosesTheStoreInSilence)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::SilentStore, Scope::OneInstance) }), smallSite);
+}
+
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenARelayIsSuspended)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::Suspend, Scope::OneInstance) }), smallSite);
+}
+
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenAllRelaysAreSuspended)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::Suspend, Scope::AllRelays) }), smallSite);
+}
+
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenARelaysPeerLinkIsCut)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::LosesBoth, Scope::OneInstance, 100) }), smallSite);
+}
+
+TEST(ViewSupply, AFollowerHasEachChangeInTimeWhenTheStoreRefusesTheRelays)
+{
+    expectInTime(steadilyWritten({ ofRelays(Kind::RefusingStore, Scope::AllRelays) }), smallSite);
+}
+
+// The instances that are cut off have no path to the store; their greatest age is recorded, and not judged.
+TEST(ViewSupply, TheOneFollowerThatReachesTheStoreHasEachChangeInTime)
+{
+    SupplyPlan plan = steadilyWritten({ ofRelays(Kind::SilentStore, Scope::AllButOneFollower) });
+    expectInTime(plan, smallSite);
+    SupplyRun run = simulateSupply(plan);
+    Milliseconds greatest { 0 };
+    for (int instance = 0; instance < plan.instances; ++instance)
+        greatest = std::max(greatest, run.greatestAgeOf(instance, Milliseconds(5000), Milliseconds(13'000)));
+    RecordProperty("greatest_age_ms", static_cast<int>(greatest.count()));
+}
+
+// Guards against followers that poll the store without need, and against polls that don't wait.
+TEST(ViewSupply, OnlyRelaysCallTheStoreWithoutDisruptions)
+{
+    for (SupplyPlan plan = steadilyWritten({}); plan.seed <= 20; ++plan.seed) {
+        SupplyRun run = simulateSupply(plan);
+        for (int instance = 0; instance < plan.instances; ++instance) {
+            bool relay = run.relays[static_cast<std::size_t>(instance)];
+            EXPECT_LE(run.mostCallsInASecond(instance, loadedBy), relay ? maxCallsOfRelay(run) : 0) << plan << instance;
+        }
+    }
+}
+
+RC_GTEST_PROP(ViewSupplySchedules, EachChangeIsInEachCopyInTimeOnASmallSite, ())
+{
+    judgeGenerated(*anyPlan(), smallSite);
+}
+
+RC_GTEST_PROP(ViewSupplySchedules, EachChangeIsInEachCopyInTimeOnALargeSite, ())
+{
+    judgeGenerated(*anyPlan(), largeSite);
+}
+
+// Guards against a copy that goes back, or that counts as fresher than it is, and against too many calls.
+RC_GTEST_PROP(ViewSupplySchedules, ACopyNeverGoesBackAndNeverCountsAsFresherThanItIs, ())
+{
+    SupplyPlan plan = *anyPlan();
+    SupplyRun run = simulateSupply(plan);
+    if (!run.faults.empty())
+        RC_FAIL((std::ostringstream() << plan << run.faults << run.events).str());
+    RC_ASSERT(run.mostCallsInASecond() <= maxCallsInASecond);
+}
