--- a/src/libsession/view_supply_test.cpp
+++ b/src/libsession/view_supply_test.cpp
@@ -100,14 +100,14 @@
     return simulateSupply(plan).events;
 }
 
-// Writes a version each 250 ms, so that no time of the run goes unjudged.
+// Writes a version each 60 ms, so that no time of the run goes unjudged.
 SupplyPlan steadilyWritten(std::vector<SupplyDisruption> disruptions)
 {
     SupplyPlan plan;
     plan.instances = 13;
     plan.dataCentres = 3;
     plan.seed = 1;
-    plan.writes.push_back({ Milliseconds(300), 56, Milliseconds(250) });
+    plan.writes.push_back({ Milliseconds(300), 230, Milliseconds(60) });
     plan.disruptions = std::move(disruptions);
     return plan;
 }
