--- a/src/libsession/supply_fleet.cpp
+++ b/src/libsession/supply_fleet.cpp
@@ -5,6 +5,7 @@
 #include "peer.pb.h"
 #include <algorithm>
 #include <fmt/format.h>
+#include <sstream>
 
 namespace catkinlock::simulation {
 
@@ -306,8 +307,9 @@
     Milliseconds now = this->time.elapsed();
     std::string name = instance < 0 ? "the store" : this->result.names[index(instance)];
     std::string role = instance >= 0 && this->result.relays[index(instance)] ? " (relay)" : "";
-    this->log(fmt::format("{}{}: kind {} for {} ms, amount {}", name, role, static_cast<int>(disruption.kind),
-        disruption.lasts.count(), disruption.amount));
+    std::ostringstream text;
+    text << disruption;
+    this->log(fmt::format("{}{} as planned for {}", name, role, text.str()));
     this->active.push_back({ disruption.kind, instance, disruption.amount, now + disruption.lasts });
     this->result.disrupted.push_back({ instance, disruption.kind, now, now + disruption.lasts });
     if (disruption.kind == Kind::Compaction)
