Read a group record whose term is no count as unreadable

Callers' view: one record under catkinlock/group/ with a term that is negative, fractional or beyond 64 bits ends every instance that reads the store, again at each start.

Cause: the term was converted by the overload that throws, and nothing between the parser and the coroutine of the store's copy catches. The record now counts as unreadable, as one that lacks a field does: the group has no primary until it can be read, the other groups hold.

--- a/src/include/catkinlock/group_record.h
+++ b/src/include/catkinlock/group_record.h
@@ -26,7 +26,8 @@
 
 /// Serializes a record as JSON.
 std::string writeGroupRecord(const GroupRecord&);
-/// Parses the JSON of a record. Returns std::nullopt if the text is not JSON or lacks a field. A state other than
+/// Parses the JSON of a record. Returns std::nullopt if the text is not JSON, lacks a field or has a
+/// term that is no 64-bit count. A state other than
 /// "serving" is read as Replacing, so that no instance sends requests to a primary while the group's state is unclear.
 std::optional<GroupRecord> parseGroupRecord(const std::string&);
 
--- a/src/libcore/group_record.cpp
+++ b/src/libcore/group_record.cpp
@@ -25,8 +25,9 @@
     GroupRecord record;
     record.state = state->get_string() == "serving" ? GroupRecord::State::Serving : GroupRecord::State::Replacing;
     record.primary = json::value_to<std::string>(*primary);
-    record.term = term->to_number<std::uint64_t>();
-    return record;
+    json::error_code inexact;
+    record.term = term->to_number<std::uint64_t>(inexact);
+    return inexact ? std::nullopt : std::optional(record);
 }
 
 } // namespace catkinlock
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -185,6 +185,20 @@
     EXPECT_EQ(builder.build(values, 2, start).primaryOf("s"), std::nullopt);
 }
 
+TEST(GroupRecord, ATermThatIsNoCountLeavesNoPrimaryAndTheOtherGroups)
+{
+    for (const char* term : { "-1", "1.5", "18446744073709551616", "1e300", "1e999", "\"2\"", "null" }) {
+        ViewBuilder builder = makeBuilder();
+        std::string odd = std::string(R"({"state":"serving","primary":"a","term":)") + term + "}";
+        auto values = copyOf({ { "members/a", "primary ready", 1 }, { "catkinlock/group/r", odd, 2 },
+            { "catkinlock/group/s", writeGroupRecord({ GroupRecord::State::Serving, "a", 2 }), 3 } });
+        FleetView view;
+        ASSERT_NO_THROW(view = builder.build(values, 3, start)) << term;
+        EXPECT_TRUE(view.isReplacing("r")) << term;
+        EXPECT_EQ(view.primaryOf("s")->id, "a") << term;
+    }
+}
+
 TEST(FleetView, ShowsThatTheRecordedPrimaryHasLostItsRole)
 {
     FleetView view;
