--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -241,3 +241,32 @@
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 9, Milliseconds(0)));
     EXPECT_TRUE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
 }
+
+// An entry of another writer may contain any bytes.
+TEST(ViewRelay, AnEntryOfAnyBytesReachesTheFollowersWithTheOthers)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10);
+    KeyValue odd { "odd", std::string("\xff\xfe\0", 3), 11, false };
+    relay.relay->append({ 12, { odd, change(12) }, false });
+    auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->changes.changes, (std::vector<KeyValue> { odd, change(12) }));
+}
+
+TEST(ViewRelay, AnEntryLargerThanTheLogSendsTheFollowersToTheStore)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10);
+    relay.relay->append({ 12, { { "odd", std::string(5 << 20, 'a'), 11, false }, change(12) }, false });
+    EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
+    auto reply = requestOnce(context, follower, relay.address, 11, Milliseconds(0));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->changes.changes, std::vector<KeyValue> { change(12) });
+}
