Take only a whole port number from an address

Callers' view: a member's entry with the address "10.0.0.9:80abc" or "10.0.0.9:8.0" named a member at port 80 or 8, to which statements were sent. A port is 1 to 65535 in plain digits.

Cause: parseAddress ignored what follows the number. It now refuses it, and a null character in the address.

--- a/src/include/catkinlock/address.h
+++ b/src/include/catkinlock/address.h
@@ -5,8 +5,8 @@
 
 namespace catkinlock {
 
-/// Parses an "ip:port". Malformed text yields 0.0.0.0:0, to which no connection can be opened; characters after the
-/// port number are ignored.
+/// Parses an "ip:port", with or without brackets around an IPv6 address. Malformed text yields 0.0.0.0:0, to which no
+/// connection can be opened.
 boost::asio::ip::tcp::endpoint parseAddress(const std::string&);
 
 /// Formats an endpoint as "ip:port".
--- a/src/libplatform/address.cpp
+++ b/src/libplatform/address.cpp
@@ -12,10 +12,17 @@
     if (colon == std::string::npos)
         return {};
     boost::system::error_code error;
-    auto address = boost::asio::ip::make_address(text.substr(0, colon), error);
+    std::string host = text.substr(0, colon);
+    if (host.starts_with("[") && host.ends_with("]"))
+        host = host.substr(1, host.size() - 2);
+    // The conversion would end at a null character.
+    if (host.find('\0') != std::string::npos)
+        return {};
+    auto address = boost::asio::ip::make_address(host, error);
     std::uint16_t port = 0;
-    auto parsed = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    if (error || parsed.ec != std::errc())
+    const char* end = text.data() + text.size();
+    auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != end)
         return {};
     return { address, port };
 }
