Leave out instances whose entry can't be read

Callers' view: an entry under catkinlock/instance/ that can't be read counts as an instance. The fleet's slots and connections are divided by one more, the entry may be the relay of a data centre, or be polled without an address, and each replacement of a primary waits for its view until all views expire.

Cause: the entry stayed in the view as an instance without address. It is now left out, with a fault in the log, if its peer address is not an ip:port or a field is missing. An instance that was in the last view stays with what was last read: it may still run with an old view, so a replacement has to wait for it, and messages still reach it. That holds until the entry is removed.

--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -14,7 +14,7 @@
 
 /// An instance that is registered in the metadata store.
 struct RegisteredInstance {
-    /// Address at which other instances send messages to it, "ip:port"; empty if its entry is invalid.
+    /// Address at which other instances send messages to it, "ip:port".
     std::string peerAddress;
     std::string dataCentre;
 
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -1,5 +1,6 @@
 #include "libsession/view_builder.h"
 
+#include "catkinlock/address.h"
 #include "catkinlock/store_revision.h"
 #include <algorithm>
 #include <boost/json.hpp>
@@ -25,20 +26,18 @@
             visit(it->first.substr(prefix.size()), it->second);
     }
 
-    std::string textOf(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_string() ? json::value_to<std::string>(*value) : "";
-    }
-
-    RegisteredInstance parseInstance(const std::string& text)
+    // std::nullopt if a field is missing or the address is not one at which messages can be received.
+    std::optional<RegisteredInstance> parseInstance(const std::string& text)
     {
         json::error_code error;
         json::value value = json::parse(text, error);
         const json::object* object = error ? nullptr : value.if_object();
-        if (!object)
-            return {};
-        return { textOf(*object, "peer"), textOf(*object, "data_centre") };
+        const json::value* peer = object ? object->if_contains("peer") : nullptr;
+        const json::value* dataCentre = object ? object->if_contains("data_centre") : nullptr;
+        if (!peer || !peer->is_string() || !dataCentre || !dataCentre->is_string())
+            return std::nullopt;
+        RegisteredInstance instance { json::value_to<std::string>(*peer), json::value_to<std::string>(*dataCentre) };
+        return parseAddress(instance.peerAddress).port() ? std::optional(instance) : std::nullopt;
     }
 
     // True if `first` was written after `second`. The terms of a group's primaries only grow, and within a term a
@@ -163,6 +162,22 @@
     std::erase_if(this->drainingSeen, [now](const auto& entry) { return now - entry.second > drainingRetention; });
 }
 
+void ViewBuilder::readInstances(const std::map<std::string, KeyValue>& values, FleetView& view)
+{
+    forEachUnder(values, instancePrefix, [&](const std::string& name, const KeyValue& entry) {
+        auto instance = parseInstance(entry.value);
+        if (!instance) {
+            this->faults.push_back(fmt::format("entry of instance {} can't be read", name));
+            auto last = this->lastInstances.find(name);
+            if (last != this->lastInstances.end())
+                instance = last->second;
+        }
+        if (instance)
+            view.instances[name] = *instance;
+    });
+    this->lastInstances = view.instances;
+}
+
 FleetView ViewBuilder::build(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now)
 {
     FleetView view;
@@ -172,8 +187,7 @@
     view.tables = this->tables;
     this->readTargets(values, revision, now, view);
     this->readGroups(values, revision, view);
-    forEachUnder(values, instancePrefix,
-        [&](const std::string& name, const KeyValue& entry) { view.instances[name] = parseInstance(entry.value); });
+    this->readInstances(values, view);
     return view;
 }
 
--- a/src/libsession/view_builder.h
+++ b/src/libsession/view_builder.h
@@ -21,6 +21,7 @@
 /// draining stays so until it has written its entry again. A group whose record can't be parsed counts as being
 /// replaced. A member whose entry disappears or becomes invalid without having been marked as draining stays in the
 /// views for a short time, because entries also expire while the store itself is unavailable.
+/// An instance whose entry can't be read is in the views only if it was in the last one: it may still run.
 class ViewBuilder {
 public:
     explicit ViewBuilder(std::shared_ptr<const DocumentSource>);
@@ -42,6 +43,7 @@
 private:
     void readTables(const std::map<std::string, KeyValue>& values);
     void readGroups(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
+    void readInstances(const std::map<std::string, KeyValue>& values, FleetView&);
     void readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, FleetView&);
 
     std::shared_ptr<const DocumentSource> documents;
@@ -61,6 +63,8 @@
     std::map<std::string, KnownRecord> knownRecords;
     std::vector<KeyValue> recordsToWrite;
     TargetDirectory lastTargets;
+    // The instances of the last view.
+    std::map<std::string, RegisteredInstance> lastInstances;
     // When members that were draining were last seen so, by id.
     std::map<std::string, TimePoint> drainingSeen;
     // Revision of the last build.
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -1,4 +1,5 @@
 #include "catkinlock/store_revision.h"
+#include "libsession/relay_choice.h"
 #include "libsession/view_builder.h"
 #include <gtest/gtest.h>
 
@@ -199,6 +200,51 @@
     }
 }
 
+TEST(ViewBuilder, AnInstanceEntryThatCannotBeReadNamesNoInstance)
+{
+    std::string deep(100000, '[');
+    for (const std::string& odd : { std::string(), std::string("?"), std::string("5"), deep, std::string("\xff\xfe"),
+             std::string(R"({"data_centre":"z"})"), std::string(R"({"peer":5,"data_centre":"z"})"),
+             std::string(R"({"peer":"10.0.0.2:70"})"), std::string(R"({"peer":"10.0.0.2:70","data_centre":5})"),
+             std::string(R"({"peer":"","data_centre":"z"})"), std::string(R"({"peer":"10.0.0.2","data_centre":"z"})"),
+             std::string(R"({"peer":"10.0.0.2:0","data_centre":"z"})"),
+             std::string(R"({"peer":"10.0.0.2:65536","data_centre":"z"})"),
+             std::string(R"({"peer":"10.0.0.2:70abc","data_centre":"z"})"),
+             std::string(R"({"peer":"nowhere:70","data_centre":"z"})") }) {
+        ViewBuilder builder = makeBuilder();
+        auto values = copyOf({ { "catkinlock/instance/a", R"({"peer":"10.0.0.1:70","data_centre":"z"})", 1 },
+            { "catkinlock/instance/b", odd, 2 } });
+        FleetView view = builder.build(values, 2, start);
+        EXPECT_EQ(view.instanceNames(), std::vector<std::string> { "a" }) << odd.substr(0, 60);
+        EXPECT_TRUE(planRelays(view, "a").relays.empty()) << odd.substr(0, 60);
+        EXPECT_TRUE(planRelays(view, "a").pollsStore) << odd.substr(0, 60);
+        EXPECT_EQ(builder.takeFaults().size(), 1u) << odd.substr(0, 60);
+    }
+}
+
+TEST(ViewBuilder, TakesInstancesAtAddressesOfBothVersions)
+{
+    ViewBuilder builder = makeBuilder();
+    auto values = copyOf({ { "catkinlock/instance/a", R"({"peer":"10.0.0.1:70","data_centre":""})", 1 },
+        { "catkinlock/instance/b", R"({"peer":"[::1]:70","data_centre":"z"})", 2 } });
+    FleetView view = builder.build(values, 2, start);
+    EXPECT_EQ(view.instances.at("a").peerAddress, "10.0.0.1:70");
+    EXPECT_EQ(view.instances.at("b").peerAddress, "[::1]:70");
+}
+
+// The instance still runs, with a view that may be old, so a replacement has to wait for it.
+TEST(ViewBuilder, KeepsAnInstanceWhoseEntryIsOverwrittenUntilTheEntryIsRemoved)
+{
+    ViewBuilder builder = makeBuilder();
+    auto values = copyOf({ { "catkinlock/instance/a", R"({"peer":"10.0.0.1:70","data_centre":"z"})", 1 } });
+    builder.build(values, 1, start);
+    values["catkinlock/instance/a"] = { "catkinlock/instance/a", "?", 2 };
+    for (std::int64_t revision : { 2, 3 })
+        EXPECT_EQ(builder.build(values, revision, start).instances.at("a").peerAddress, "10.0.0.1:70");
+    EXPECT_TRUE(builder.build({}, 4, start).instances.empty());
+    EXPECT_TRUE(builder.build(values, 5, start).instances.empty());
+}
+
 TEST(FleetView, ShowsThatTheRecordedPrimaryHasLostItsRole)
 {
     FleetView view;
