Take a slot only from a key that names one

Callers' view: a key under /catkinlock/slot/ that ends in no number, or in one beyond 32 bits, made slot 0 (or the number's lower 32 bits) look taken by another. That slot was not claimed, and its share of each workspace's rate was not served; requests for tokens went to the entry's instance.

Cause: the directory left the slot at 0 when the number could not be read, and the keeper narrowed strtoul. Both now use one function, and pass over such a key.

SlotDirectory.AKeyThatNamesNoSlotIsIgnored failed before: the entry's instance held slots. The keeper's use has no test of its own.

--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace catkinlock {
@@ -51,6 +52,14 @@
 
 } // namespace
 
+std::optional<std::uint32_t> slotOf(const std::string& key)
+{
+    std::uint32_t slot = 0;
+    const char* end = key.data() + key.size();
+    auto parsed = std::from_chars(key.data() + std::string_view(slotPrefix).size(), end, slot);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(slot) : std::nullopt;
+}
+
 SlotKeeper::SlotKeeper(asio::io_context& context, std::shared_ptr<MetadataStore> store, Options options, Hooks hooks)
     : context(context)
     , store(std::move(store))
@@ -317,12 +326,13 @@
     this->recordEra(StoreRevision::fromSequence(range->revision).era);
     this->takenByOthers.clear();
     for (const KeyValue& value : range->values) {
-        auto slot = static_cast<std::uint32_t>(
-            std::strtoul(value.key.substr(std::string_view(slotPrefix).size()).c_str(), nullptr, 10));
-        if (!this->slots.count(slot) && isHeldBy(value.value, this->options.instance, this->options.peerAddress))
-            this->earlierSlots[slot] = value.revision;
+        auto slot = slotOf(value.key);
+        if (!slot)
+            continue;
+        if (!this->slots.count(*slot) && isHeldBy(value.value, this->options.instance, this->options.peerAddress))
+            this->earlierSlots[*slot] = value.revision;
         else
-            this->takenByOthers.insert(slot);
+            this->takenByOthers.insert(*slot);
     }
     this->slotsRead = true;
     co_return true;
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -14,6 +14,8 @@
 
 /// Key prefix of the slots in the platform's metadata store.
 inline constexpr const char* slotPrefix = "/catkinlock/slot/";
+/// The slot that a key with that prefix names; std::nullopt if the rest of the key is not a number of 32 bits.
+std::optional<std::uint32_t> slotOf(const std::string& key);
 /// Key of the latest era of the metadata store in which free slots may be claimed without a wait.
 inline constexpr const char* slotEraKey = "/catkinlock/slot-era";
 
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -167,6 +167,20 @@
     EXPECT_EQ(membership.holderOf(3), nullptr);
 }
 
+// The key of another writer must not make a slot look taken that it doesn't name.
+TEST(SlotDirectory, AKeyThatNamesNoSlotIsIgnored)
+{
+    std::map<std::string, KeyValue> values;
+    for (const char* slot : { "", "x", "-1", "3x", "00003/x", "4294967296", "4294967299", "99999999999999999999" }) {
+        std::string key = std::string("/catkinlock/slot/") + slot;
+        values[key] = { key, R"({"instance": "entry-1", "peer": "entry-1:1"})", 1, false };
+    }
+    EXPECT_TRUE(slotsListedFor(values, "entry-1").empty());
+    for (const char* text : { "", "?", "5", R"({"instance": 5, "peer": "entry-1:1"})", R"({"instance": "entry-1"})" })
+        values["/catkinlock/slot/00003"] = { "/catkinlock/slot/00003", text, 1, false };
+    EXPECT_TRUE(slotsListedFor(values, "entry-1").empty());
+}
+
 // Guards against a position that appears newer than it is: a replica would then serve a read that misses an
 // acknowledged commit. It could come about when a reply is delayed on its way.
 TEST(PositionExchange, APositionNeverLooksNewerThanItIs)
--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -3,7 +3,6 @@
 #include "libserver/slot_keeper.h"
 #include <algorithm>
 #include <boost/json.hpp>
-#include <charconv>
 
 namespace catkinlock {
 
@@ -37,13 +36,12 @@
     std::string prefix = slotPrefix;
     for (auto it = values.lower_bound(prefix); it != values.end() && it->first.starts_with(prefix); ++it) {
         InstanceRecord entry;
-        if (!readHolder(it->second.value, entry))
+        auto slot = slotOf(it->first);
+        if (!slot || !readHolder(it->second.value, entry))
             continue;
         auto& record = records[entry.name];
         record = { entry.name, entry.address, "", 1, view.serial, InstanceState::Live, record.slots };
-        std::uint32_t slot = 0;
-        std::from_chars(it->first.data() + prefix.size(), it->first.data() + it->first.size(), slot);
-        record.slots.push_back(slot);
+        record.slots.push_back(*slot);
     }
     std::vector<InstanceRecord> list;
     list.reserve(records.size());
