Log an entry that can't be read once for each of its revisions

Callers' view: one odd entry of a member was logged by every instance with each view that it built for as long as the entry stayed. An unreadable group record, which leaves its group without a primary, was not logged at all.

Cause: faults were collected for each view. They are now collected for each revision of an entry, group records included.

ViewBuilder.ReportsAnEntryThatCannotBeReadOnceForEachOfItsRevisions failed before: the second view of the same entries reported them again.

--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -56,6 +56,12 @@
 {
 }
 
+void ViewBuilder::addFault(const KeyValue& entry, std::string text)
+{
+    if (std::exchange(this->reportedRevisions[entry.key], entry.revision) != entry.revision)
+        this->faults.push_back(std::move(text));
+}
+
 std::vector<std::string> ViewBuilder::takeFaults() { return std::exchange(this->faults, {}); }
 
 void ViewBuilder::readTables(const std::map<std::string, KeyValue>& values)
@@ -106,7 +112,10 @@
         // A record that can't be parsed shows that the fleet has agreed on a primary before, so the members' claims
         // must not be used. Until the record is readable again the group has no primary.
         GroupRecord unreadable { GroupRecord::State::Replacing, "", 0 };
-        view.groups[service] = parseGroupRecord(entry.value).value_or(unreadable);
+        auto record = parseGroupRecord(entry.value);
+        if (!record)
+            this->addFault(entry, fmt::format("record of group {} can't be read, so it has no primary", service));
+        view.groups[service] = record.value_or(unreadable);
         storedRevisions[service] = entry.revision;
     });
     for (const auto& [service, known] : this->knownRecords) {
@@ -145,7 +154,7 @@
             target->draining = this->drainingSeen.count(id);
             view.targets[id] = *target;
         } else
-            this->faults.push_back(fmt::format("target entry of member {} ignored: {}", id, target.error().message));
+            this->addFault(entry, fmt::format("target entry of member {} ignored: {}", id, target.error().message));
     });
     for (const auto& [id, target] : this->lastTargets) {
         if (view.targets.count(id)) {
@@ -167,7 +176,7 @@
     forEachUnder(values, instancePrefix, [&](const std::string& name, const KeyValue& entry) {
         auto instance = parseInstance(entry.value);
         if (!instance) {
-            this->faults.push_back(fmt::format("entry of instance {} can't be read", name));
+            this->addFault(entry, fmt::format("entry of instance {} can't be read", name));
             auto last = this->lastInstances.find(name);
             if (last != this->lastInstances.end())
                 instance = last->second;
@@ -188,6 +197,7 @@
     this->readTargets(values, revision, now, view);
     this->readGroups(values, revision, view);
     this->readInstances(values, view);
+    std::erase_if(this->reportedRevisions, [&values](const auto& reported) { return !values.count(reported.first); });
     return view;
 }
 
--- a/src/libsession/view_builder.h
+++ b/src/libsession/view_builder.h
@@ -37,10 +37,12 @@
     const std::vector<KeyValue>& lostRecords() const { return this->recordsToWrite; }
     /// True while a member without a valid entry is still kept, so that a later build from the same copy will drop it.
     bool hasPendingRemovals() const { return !this->missingSince.empty(); }
-    /// Returns the errors found in documents since the last call, for the log.
+    /// Returns the errors found in documents since the last call, for the log: one for each revision of a document.
     std::vector<std::string> takeFaults();
 
 private:
+    // Adds an error for `takeFaults`, unless one was added for this revision of the entry.
+    void addFault(const KeyValue& entry, std::string text);
     void readTables(const std::map<std::string, KeyValue>& values);
     void readGroups(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
     void readInstances(const std::map<std::string, KeyValue>& values, FleetView&);
@@ -75,6 +77,8 @@
     // Since when members of the last view have had no valid entry, by member id.
     std::map<std::string, TimePoint> missingSince;
     std::vector<std::string> faults;
+    // Revisions of the entries for which an error was added last, by key.
+    std::map<std::string, std::int64_t> reportedRevisions;
     std::uint64_t serial = 0;
 };
 
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -245,6 +245,20 @@
     EXPECT_TRUE(builder.build(values, 5, start).instances.empty());
 }
 
+TEST(ViewBuilder, ReportsAnEntryThatCannotBeReadOnceForEachOfItsRevisions)
+{
+    ViewBuilder builder = makeBuilder();
+    auto values
+        = copyOf({ { "members/a", "", 1 }, { "catkinlock/instance/b", "?", 1 }, { "catkinlock/group/s", "?", 1 } });
+    builder.build(values, 1, start);
+    EXPECT_EQ(builder.takeFaults().size(), 3u);
+    builder.build(values, 2, start);
+    EXPECT_TRUE(builder.takeFaults().empty());
+    values["members/a"].revision = 3;
+    builder.build(values, 3, start);
+    EXPECT_EQ(builder.takeFaults().size(), 1u);
+}
+
 TEST(FleetView, ShowsThatTheRecordedPrimaryHasLostItsRole)
 {
     FleetView view;
