--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -169,6 +169,20 @@
     EXPECT_EQ(membership.holderOf(3), nullptr);
 }
 
+// The key of another writer must not make a slot look taken that it doesn't name.
+TEST(SlotDirectory, AKeyThatNamesNoSlotIsIgnored)
+{
+    std::map<std::string, KeyValue> values;
+    for (const char* slot : { "", "x", "-1", "3x", "00003/x", "4294967296", "4294967299", "99999999999999999999" }) {
+        std::string key = std::string("/catkinlock/slot/") + slot;
+        values[key] = { key, R"({"instance": "entry-1", "peer": "entry-1:1"})", 1, false };
+    }
+    EXPECT_TRUE(slotsListedFor(values, "entry-1").empty());
+    for (const char* text : { "", "?", "5", R"({"instance": 5, "peer": "entry-1:1"})", R"({"instance": "entry-1"})" })
+        values["/catkinlock/slot/00003"] = { "/catkinlock/slot/00003", text, 1, false };
+    EXPECT_TRUE(slotsListedFor(values, "entry-1").empty());
+}
+
 // Guards against a position that appears newer than it is: a replica would then serve a read that misses an
 // acknowledged commit. It could come about when a reply is delayed on its way.
 TEST(PositionExchange, APositionNeverLooksNewerThanItIs)
@@ -243,3 +257,32 @@
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 9, Milliseconds(0)));
     EXPECT_TRUE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
 }
+
+// An entry of another writer may contain any bytes.
+TEST(ViewRelay, AnEntryOfAnyBytesReachesTheFollowersWithTheOthers)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10);
+    KeyValue odd { "odd", std::string("\xff\xfe\0", 3), 11, false };
+    relay.relay->append({ 12, { odd, change(12) }, false });
+    auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->changes.changes, (std::vector<KeyValue> { odd, change(12) }));
+}
+
+TEST(ViewRelay, AnEntryLargerThanTheLogSendsTheFollowersToTheStore)
+{
+    boost::asio::io_context context;
+    Peer relay(context);
+    Peer follower(context);
+    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10);
+    relay.relay->append({ 12, { { "odd", std::string(5 << 20, 'a'), 11, false }, change(12) }, false });
+    EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
+    auto reply = requestOnce(context, follower, relay.address, 11, Milliseconds(0));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->changes.changes, std::vector<KeyValue> { change(12) });
+}
--- a/src/libsession/view_builder.h
+++ b/src/libsession/view_builder.h
@@ -21,6 +21,7 @@
 /// draining stays so until it has written its entry again. A group whose record can't be parsed counts as being
 /// replaced. A member whose entry disappears or becomes invalid without having been marked as draining stays in the
 /// views for a short time, because entries also expire while the store itself is unavailable.
+/// An instance whose entry can't be read is in the views only if it was in the last one: it may still run.
 class ViewBuilder {
 public:
     explicit ViewBuilder(std::shared_ptr<const DocumentSource>);
@@ -36,12 +37,15 @@
     const std::vector<KeyValue>& lostRecords() const { return this->recordsToWrite; }
     /// True while a member without a valid entry is still kept, so that a later build from the same copy will drop it.
     bool hasPendingRemovals() const { return !this->missingSince.empty(); }
-    /// Returns the errors found in documents since the last call, for the log.
+    /// Returns the errors found in documents since the last call, for the log: one for each revision of a document.
     std::vector<std::string> takeFaults();
 
 private:
+    // Adds an error for `takeFaults`, unless one was added for this revision of the entry.
+    void addFault(const KeyValue& entry, std::string text);
     void readTables(const std::map<std::string, KeyValue>& values);
     void readGroups(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
+    void readInstances(const std::map<std::string, KeyValue>& values, FleetView&);
     void readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, FleetView&);
 
     std::shared_ptr<const DocumentSource> documents;
@@ -61,6 +65,8 @@
     std::map<std::string, KnownRecord> knownRecords;
     std::vector<KeyValue> recordsToWrite;
     TargetDirectory lastTargets;
+    // The instances of the last view.
+    std::map<std::string, RegisteredInstance> lastInstances;
     // When members that were draining were last seen so, by id.
     std::map<std::string, TimePoint> drainingSeen;
     // Revision of the last build.
@@ -71,6 +77,8 @@
     // Since when members of the last view have had no valid entry, by member id.
     std::map<std::string, TimePoint> missingSince;
     std::vector<std::string> faults;
+    // Revisions of the entries for which an error was added last, by key.
+    std::map<std::string, std::int64_t> reportedRevisions;
     std::uint64_t serial = 0;
 };
 
