Derive the time limits of a view's path from the bounds, and confirm an overdue view by further sources

Cause: the bound (3,000 ms on small sites) was in no setting, and a dozen constants in four files added up to 3,161 ms (storm) and 4,101 ms (calm) for a relay and 3,200 to 3,400 ms for a follower, which asked nobody else while its relay replied.

Change: deriveViewBudget derives every limit from apply_ms (new setting, from the bounds of the platform) and revocation_ms, and refuses settings whose bounds can't be kept with two failed attempts. A view that is overdue (half of the bound) is confirmed by the store itself and by other instances in turn while the ordinary poll goes on, spread over a tenth of the bound. ViewSources decides which source is next; a source whose own view is overdue is left. Replies to requests from before the whole store was read are dropped, since there may now be several requests at once.

--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -2,6 +2,7 @@
 
 #include "catkinlock/clock.h"
 #include "catkinlock/error.h"
+#include "catkinlock/view_budget.h"
 #include <cstdint>
 #include <string>
 #include <tl/expected.hpp>
@@ -36,12 +37,20 @@
     std::uint32_t slots = 32;
     /// Duration of the lease on a slot and on the instance's registration, 2 to 86400 s.
     std::uint32_t leaseSeconds = 12;
+    /// Time within which an accepted configuration is in force on each instance that reaches the store, 500 to
+    /// 600000 ms. This and `revocationMs` have to be long enough for `deriveViewBudget`.
+    std::uint32_t applyMs = 3000;
     /// Time within which a withdrawn key stops being accepted, 500 to 600000 ms.
     std::uint32_t revocationMs = 5000;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 6;
 
     bool operator==(const FrontSettings&) const = default;
+
+    tl::expected<ViewBudget, Error> viewBudget() const
+    {
+        return deriveViewBudget(Milliseconds(this->applyMs), Milliseconds(this->revocationMs));
+    }
 };
 
 /// Parses settings from the text of a TOML file. Returns all errors found, each with file, line and key, or only the
--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -38,7 +38,10 @@
             fmt::format("must have at least {} characters", minSecretLength));
     reader.number("fleet", "slots", settings.slots, 1, 65536);
     reader.number("fleet", "lease_seconds", settings.leaseSeconds, 2, 86400);
+    reader.number("fleet", "apply_ms", settings.applyMs, 500, 600000);
     reader.number("fleet", "revocation_ms", settings.revocationMs, 500, 600000);
+    if (auto budget = settings.viewBudget(); !budget)
+        reader.addError(reader.line("fleet", "apply_ms"), "fleet", "apply_ms", budget.error().message);
     reader.rejectUnknownKeys();
     if (!reader.errors.empty())
         return tl::unexpected(reader.errors);
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -4,6 +4,7 @@
 #include "catkinlock/log.h"
 #include "catkinlock/membership.h"
 #include "catkinlock/peer_link.h"
+#include "catkinlock/rendezvous.h"
 #include "catkinlock/store_revision.h"
 #include "libserver/admission.h"
 #include "libserver/metrics_page.h"
@@ -28,6 +29,7 @@
 #include <boost/asio.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <limits>
 #include <thread>
 
 namespace catkinlock {
@@ -38,8 +40,6 @@
 
     // Between two runs of the maintenance on each thread.
     constexpr Milliseconds maintenanceInterval { 200 };
-    // A withdrawn key has to stop working within `revocationMs`. The maximum age of a view is shorter by this margin.
-    constexpr Milliseconds revocationMargin { 300 };
     // The instance reports that it is not ready once less than this fraction of its view's maximum age remains, so that
     // the balancer sends new callers to other instances.
     constexpr double minRemainingAgeFraction = 0.15;
@@ -62,6 +62,27 @@
     constexpr Milliseconds peerLearningTime { 10000 };
     // Between two such requests.
     constexpr Milliseconds peerLearningInterval { 300 };
+    // Seed of the hash by which the instances' times are spread.
+    constexpr std::uint64_t spreadSeed = 0x737072656164;
+
+    // A number from 0 to 1 that depends on the name only.
+    double shareOf(const std::string& name)
+    {
+        return static_cast<double>(stableHash(name, spreadSeed))
+            / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    }
+
+    // Replaces the names of instances by their peer addresses.
+    std::vector<std::string> peerAddresses(const FleetView& view, const std::vector<std::string>& names)
+    {
+        std::vector<std::string> addresses;
+        for (const std::string& name : names) {
+            const std::string& address = view.instances.at(name).peerAddress;
+            if (!address.empty())
+                addresses.push_back(address);
+        }
+        return addresses;
+    }
 
 } // namespace
 
@@ -72,7 +93,7 @@
     void start();
     void applyStoreChange();
     void publishView();
-    RelayPlan relayPlan() const;
+    const RelayPlan& relayPlan();
     void queryPositions();
     void learnConfiguration(const KeyValue&);
     asio::awaitable<void> learnFromPeers();
@@ -98,6 +119,7 @@
     std::shared_ptr<TimeSource> time = std::make_shared<SystemTime>(this->control);
     InstanceLifecycle lifecycle;
     SessionPlatform platform;
+    ViewBudget budget;
     std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<RcuSnapshot<FleetView>> view = std::make_shared<RcuSnapshot<FleetView>>();
     ViewBuilder builder;
@@ -116,6 +138,9 @@
     std::shared_ptr<SessionFront> front;
     std::shared_ptr<PageServer> readyServer;
     std::shared_ptr<PageServer> metricsServer;
+    // The sources of store changes in the view with this serial number.
+    RelayPlan plan;
+    std::uint64_t planSerial = 0;
     // Revision of the configuration in force; 0 before the first one.
     std::int64_t activeTablesRevision = 0;
     // Number of statements at the last request maintenance.
@@ -129,7 +154,8 @@
     : settings(std::move(given))
     , readSettings(std::move(readSettings))
     , platform(makePlatform(this->control, this->settings))
-    , freshness(std::make_shared<ViewFreshness>(Milliseconds(this->settings.revocationMs) - revocationMargin))
+    , budget(this->settings.viewBudget().value())
+    , freshness(std::make_shared<ViewFreshness>(this->budget.maxAge))
     , builder(this->platform.documentSource)
 {
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
@@ -143,14 +169,15 @@
                 asio::post(this->requests,
                     [groups = this->sessions->groups, member, observation] { groups->recordLag(member, observation); });
             } });
-    this->relay
-        = std::make_shared<ViewRelay>(this->control, ViewRelay::Parts { this->link, this->time, this->freshness },
-            ViewRelay::Hooks { [this] { return this->builder.lostConfiguration(); },
-                [this](const KeyValue& document) { this->learnConfiguration(document); } });
+    this->relay = std::make_shared<ViewRelay>(this->control,
+        ViewRelay::Parts { this->link, this->time, this->freshness, this->budget },
+        ViewRelay::Hooks { [this] { return this->builder.lostConfiguration(); },
+            [this](const KeyValue& document) { this->learnConfiguration(document); } });
     this->records = std::make_shared<RecordKeeper>(
         this->control, this->platform.store, [this] { return this->builder.lostRecords(); });
     this->mirror = std::make_shared<StoreMirror>(this->control,
-        StoreMirror::Parts { this->platform.store, this->relay, this->freshness, this->time },
+        StoreMirror::Parts { this->platform.store, this->relay, this->freshness, this->time, this->budget,
+            shareOf(this->settings.name) },
         StoreMirror::Hooks { [this] { this->applyStoreChange(); }, [this] { return this->relayPlan(); } });
     auto executor = this->requests.get_executor();
     this->sessions->executor = executor;
@@ -306,13 +333,16 @@
 }
 
 // Returns the sources of store changes for this instance, with the relays' peer addresses in place of their names.
-RelayPlan FrontInstance::Parts::relayPlan() const
+const RelayPlan& FrontInstance::Parts::relayPlan()
 {
     auto current = this->view->read();
-    RelayPlan plan = planRelays(*current, this->settings.name);
-    for (std::string& relay : plan.relays)
-        relay = current->instances.at(relay).peerAddress;
-    return plan;
+    if (this->planSerial == current->serial)
+        return this->plan;
+    this->plan = planRelays(*current, this->settings.name);
+    this->plan.relays = peerAddresses(*current, this->plan.relays);
+    this->plan.others = peerAddresses(*current, this->plan.others);
+    this->planSerial = current->serial;
+    return this->plan;
 }
 
 void FrontInstance::Parts::handleMessage(const wire::Envelope& envelope)
@@ -502,7 +532,10 @@
     if (!next)
         return;
     this->settings = *next;
-    this->freshness->setMaxAge(Milliseconds(next->revocationMs) - revocationMargin);
+    this->budget = next->viewBudget().value();
+    this->freshness->setMaxAge(this->budget.maxAge);
+    this->relay->updateBudget(this->budget);
+    this->mirror->updateBudget(this->budget);
 }
 
 // Drains the sessions in stages and stops the instance: first callers close their sessions by themselves, then idle
--- a/src/libsession/relay_choice.cpp
+++ b/src/libsession/relay_choice.cpp
@@ -29,17 +29,20 @@
         return std::pair(otherDataCentre, stableHash(name, stableHash(self)));
     };
     RelayPlan plan;
-    std::vector<std::string>& relays = plan.relays;
     for (auto& [dataCentre, names] : byDataCentre) {
-        std::size_t count = (names.size() + instancesPerRelay - 1) / instancesPerRelay;
+        auto count = static_cast<std::ptrdiff_t>((names.size() + instancesPerRelay - 1) / instancesPerRelay);
         std::sort(names.begin(), names.end(), [](const std::string& left, const std::string& right) {
             return std::pair(stableHash(left, relaySeed), left) < std::pair(stableHash(right, relaySeed), right);
         });
-        relays.insert(relays.end(), names.begin(), names.begin() + static_cast<std::ptrdiff_t>(count));
+        plan.relays.insert(plan.relays.end(), names.begin(), names.begin() + count);
+        plan.others.insert(plan.others.end(), names.begin() + count, names.end());
     }
-    plan.pollsStore = std::erase(relays, self) != 0;
-    std::sort(relays.begin(), relays.end(),
-        [&](const std::string& left, const std::string& right) { return preference(left) < preference(right); });
+    plan.pollsStore = std::erase(plan.relays, self) != 0;
+    std::erase(plan.others, self);
+    auto preferred
+        = [&](const std::string& left, const std::string& right) { return preference(left) < preference(right); };
+    std::sort(plan.relays.begin(), plan.relays.end(), preferred);
+    std::sort(plan.others.begin(), plan.others.end(), preferred);
     return plan;
 }
 
--- a/src/libsession/relay_choice.h
+++ b/src/libsession/relay_choice.h
@@ -11,8 +11,10 @@
     /// True if the instance polls the store itself and follows relays only while the store is unavailable to it. The
     /// other instances poll the store only while no relay is available.
     bool pollsStore = false;
-    /// The instances to follow, in order of preference.
+    /// The relays to follow, in order of preference.
     std::vector<std::string> relays;
+    /// The other instances, in order of preference; they reply to requests as relays do.
+    std::vector<std::string> others;
 };
 
 /// Returns the sources of changes for instance `self`. Only a few instances of each data centre (the relays) poll the
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -46,8 +46,9 @@
     explicit Peer(boost::asio::io_context& context)
         : link(std::make_shared<PeerLink>(context, secret))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(
-              context, ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context), this->freshness }))
+        , relay(std::make_shared<ViewRelay>(context,
+              ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context), this->freshness,
+                  deriveViewBudget(Milliseconds(3000), Milliseconds(5000)).value() }))
     {
         this->address = this->link->bind("127.0.0.1:0");
         this->link->start([this](const wire::Envelope& envelope) {
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -15,29 +15,17 @@
 
 namespace {
 
-    // Longest time for which the store holds a poll. A response without changes confirms the copy as of the time of the
-    // request, so this bounds the age of the view while the store is reachable.
-    constexpr Milliseconds storePollWait { 1000 };
-    // Longest time for which a relay may hold a poll. It usually replies earlier, as soon as its own copy is confirmed.
-    constexpr Milliseconds relayPollWait { 1200 };
-    // A follower whose view is older than this requests an immediate reply from its relay.
-    constexpr Milliseconds urgentAfter { 1800 };
-    // Delay after an immediate reply without changes.
-    constexpr Milliseconds urgentRetryDelay { 200 };
-    // A relay that did not reply is skipped for this long.
-    constexpr Milliseconds relayBackoff { 3000 };
-    // After this many failed calls in a row, the store is skipped in favour of relays for `storeBackoff`.
-    constexpr unsigned failuresUntilBackoff = 2;
-    constexpr Milliseconds storeBackoff { 1000 };
-    // Longest hold time of a poll after a failed call. Short, so that the response shows at once that the store is
-    // reachable again.
+    // Delay after an instance did not reply, or replied that its view is overdue.
+    constexpr Milliseconds peerRetryDelay { 200 };
+    // Hold time of a poll to which the response should come at once.
     constexpr Milliseconds probeWait { 1 };
     // Delay after a change, before the next poll.
     constexpr Milliseconds batchDelay { 60 };
-    // Delay after a failed call to the store; it doubles with each further failure in a row.
-    constexpr Milliseconds minRetryDelay { 100 };
-    constexpr Milliseconds maxRetryDelay { 800 };
-    constexpr unsigned maxDoublings = 3;
+    // Delay before the whole store is read again.
+    constexpr Milliseconds readAgainDelay { 100 };
+    // Attempts of one overdue period that call the store although calls to it fail; further ones leave it to the
+    // ordinary poll, so that an outage does not double the calls.
+    constexpr unsigned maxFailingAttempts = 3;
 
     std::string text(std::int64_t number) { return fmt::format("{}", number); }
 
@@ -53,6 +41,7 @@
 void StoreMirror::start()
 {
     spawn(this->context, [self = this->shared_from_this()] { return self->run(); });
+    spawn(this->context, [self = this->shared_from_this()] { return self->confirmOverdue(); });
 }
 
 asio::awaitable<void> StoreMirror::run()
@@ -66,38 +55,35 @@
     }
 }
 
-asio::awaitable<void> StoreMirror::backOff(const std::string& message)
+Milliseconds StoreMirror::viewAge() const { return this->parts.freshness->age(this->parts.time->now()); }
+
+void StoreMirror::recordStoreFailure(const std::string& message)
 {
-    if (!this->consecutiveFailures)
+    if (!this->sources.storeFails())
         writeLog(LogLevel::Warning, "store_lost",
-            { { "reason", message },
-                { "view_age_ms", fmt::format("{}", this->parts.freshness->age(this->parts.time->now()).count()) } });
-    Milliseconds time
-        = std::min(minRetryDelay * (1 << std::min(this->consecutiveFailures, maxDoublings)), maxRetryDelay);
-    ++this->consecutiveFailures;
-    // Other instances may still reach the store, so this one follows a relay for a while.
-    if (this->consecutiveFailures >= failuresUntilBackoff)
-        this->storeRetryAt = this->parts.time->now() + storeBackoff;
-    co_await this->parts.time->sleepFor(time);
+            { { "reason", message }, { "view_age_ms", text(this->viewAge().count()) } });
+    this->sources.recordStoreFailure(this->parts.time->now());
 }
 
-void StoreMirror::recordStoreReached()
+void StoreMirror::recordStoreReply()
 {
-    if (this->consecutiveFailures)
-        writeLog(
-            LogLevel::Info, "store_regained", { { "failed_calls", fmt::format("{}", this->consecutiveFailures) } });
-    this->consecutiveFailures = 0;
+    if (this->sources.storeFails())
+        writeLog(LogLevel::Info, "store_regained", { { "failed_calls", text(this->sources.storeFailures()) } });
+    this->sources.recordStoreReply();
 }
 
 asio::awaitable<bool> StoreMirror::load()
 {
     TimePoint requestedAt = this->parts.time->now();
+    this->storeCalledAt = requestedAt;
+    ++this->loads;
     auto range = co_await this->parts.store->readPrefix("");
     if (!range) {
-        co_await this->backOff(range.error().message);
+        this->recordStoreFailure(range.error().message);
+        co_await this->parts.time->sleepFor(this->sources.storeRetryDelay());
         co_return false;
     }
-    this->recordStoreReached();
+    this->recordStoreReply();
     std::int64_t before = this->copy.revision();
     if (!this->copy.replace(std::move(*range)))
         co_return false;
@@ -113,71 +99,121 @@
     co_return true;
 }
 
-// Returns the address of the relay to poll next; empty if the store itself is to be polled.
-std::string StoreMirror::selectRelay(TimePoint now) const
-{
-    RelayPlan plan = this->hooks.plan();
-    if (plan.pollsStore && now >= this->storeRetryAt)
-        return "";
-    for (const std::string& address : plan.relays) {
-        auto retryAt = this->relayRetryAt.find(address);
-        if (retryAt == this->relayRetryAt.end() || retryAt->second <= now)
-            return address;
-    }
-    return "";
-}
-
-// Polls the store or a relay once. Returns false if the whole store has to be read again.
+// Polls the store or another instance once. Returns false if the whole store has to be read again.
 asio::awaitable<bool> StoreMirror::poll()
 {
-    std::string address = this->selectRelay(this->parts.time->now());
-    if (address.empty())
+    auto source = this->sources.next(this->hooks.plan(), this->parts.time->now());
+    this->polledPeer = source.address;
+    if (source.kind == ViewSources::Source::Kind::Store)
         co_return co_await this->pollStore();
-    co_return co_await this->pollRelay(address);
+    co_return co_await this->pollPeer(source.address);
 }
 
-void StoreMirror::skipRelay(const std::string& address)
+asio::awaitable<bool> StoreMirror::pollStore()
 {
-    this->relayRetryAt[address] = this->parts.time->now() + relayBackoff;
-    writeLog(LogLevel::Info, "relay_lost",
-        { { "relay", address }, { "view_age_ms", text(this->parts.freshness->age(this->parts.time->now()).count()) } });
+    auto merge = co_await this->requestFromStore(this->sources.storeFails() ? probeWait : this->parts.budget.storeHold);
+    if (!merge)
+        co_await this->parts.time->sleepFor(this->sources.storeRetryDelay());
+    else if (*merge == StoreCopy::Merge::Changed)
+        co_await this->awaitBatch();
+    co_return merge != StoreCopy::Merge::ReadAgain;
 }
 
-asio::awaitable<bool> StoreMirror::pollRelay(std::string address)
+asio::awaitable<bool> StoreMirror::pollPeer(std::string address)
 {
-    bool urgent = this->parts.freshness->age(this->parts.time->now()) > urgentAfter;
-    auto response = co_await this->parts.relay->requestChanges(
-        address, this->copy.revision(), urgent ? Milliseconds(0) : relayPollWait);
-    if (!response) {
-        this->skipRelay(address);
-        co_return true;
+    auto merge
+        = co_await this->requestFromPeer(address, this->isOverdue() ? Milliseconds(0) : this->parts.budget.relayHold);
+    if (merge == StoreCopy::Merge::ReadAgain) {
+        co_await this->parts.time->sleepFor(readAgainDelay);
+        co_return false;
     }
-    auto merge = this->applyChanges(response->changes, response->confirmedAt);
-    if (merge == StoreCopy::Merge::Ignored)
-        this->skipRelay(address);
-    else if (merge == StoreCopy::Merge::Changed)
+    // An instance whose own view is overdue has lost its source.
+    if (!merge || merge == StoreCopy::Merge::Ignored || this->isOverdue()) {
+        this->sources.recordPeerFailure(address, this->parts.time->now());
+        writeLog(LogLevel::Info, "relay_lost",
+            { { "relay", address }, { "replied", merge ? "yes" : "no" },
+                { "view_age_ms", text(this->viewAge().count()) } });
+        co_await this->parts.time->sleepFor(peerRetryDelay);
+    } else if (merge == StoreCopy::Merge::Changed)
         co_await this->awaitBatch();
-    else if (merge == StoreCopy::Merge::ReadAgain)
-        co_await this->parts.time->sleepFor(minRetryDelay);
-    else if (merge == StoreCopy::Merge::Confirmed && urgent)
-        co_await this->parts.time->sleepFor(urgentRetryDelay);
-    co_return merge != StoreCopy::Merge::ReadAgain;
+    co_return true;
 }
 
-asio::awaitable<bool> StoreMirror::pollStore()
+// Confirms the copy by further sources whenever it is overdue.
+asio::awaitable<void> StoreMirror::confirmOverdue()
+{
+    auto self = this->shared_from_this();
+    unsigned attempt = 0;
+    while (!this->stopped) {
+        const ViewBudget& budget = this->parts.budget;
+        Milliseconds offset(static_cast<Milliseconds::rep>(
+            static_cast<double>(budget.overdueSpread.count()) * this->parts.overdueOffset));
+        Milliseconds left = budget.overdueAfter + offset - this->viewAge();
+        bool due = this->loaded && left < Milliseconds(0);
+        if (due)
+            this->requestFromFurtherSources(attempt++);
+        else
+            attempt = 0;
+        Milliseconds wait = due || !this->loaded ? budget.attemptTimeout : left + Milliseconds(1);
+        co_await this->parts.time->sleepFor(wait);
+    }
+}
+
+// Starts requests to the store and to another instance. The store is left out if it has just been called.
+void StoreMirror::requestFromFurtherSources(unsigned attempt)
+{
+    TimePoint now = this->parts.time->now();
+    std::string peer = this->sources.nextForOverdue(this->hooks.plan(), this->polledPeer, attempt, now);
+    bool asksStore = (attempt < maxFailingAttempts || !this->sources.storeFails())
+        && now - this->storeCalledAt >= this->parts.budget.attemptTimeout;
+    if (!attempt)
+        writeLog(LogLevel::Info, "view_overdue",
+            { { "view_age_ms", text(this->viewAge().count()) },
+                { "polls", this->polledPeer.empty() ? "store" : this->polledPeer }, { "asks", peer },
+                { "asks_store", asksStore ? "yes" : "no" } });
+    if (asksStore)
+        spawn(this->context,
+            [self = this->shared_from_this()] { return self->readAgainIfNeeded(self->requestFromStore(probeWait)); });
+    if (!peer.empty())
+        spawn(this->context, [self = this->shared_from_this(), peer] {
+            return self->readAgainIfNeeded(self->requestFromPeer(peer, Milliseconds(0)));
+        });
+}
+
+asio::awaitable<void> StoreMirror::readAgainIfNeeded(asio::awaitable<std::optional<StoreCopy::Merge>> request)
+{
+    auto self = this->shared_from_this();
+    if (co_await std::move(request) == StoreCopy::Merge::ReadAgain)
+        this->loaded = false;
+}
+
+// Returns std::nullopt if the call failed.
+asio::awaitable<std::optional<StoreCopy::Merge>> StoreMirror::requestFromStore(Milliseconds wait)
 {
     TimePoint requestedAt = this->parts.time->now();
-    auto response = co_await this->parts.store->changesAfter(
-        "", this->copy.revision(), this->consecutiveFailures ? probeWait : storePollWait);
+    this->storeCalledAt = requestedAt;
+    unsigned load = this->loads;
+    auto response = co_await this->parts.store->changesAfter("", this->copy.revision(), wait);
     if (!response) {
-        co_await this->backOff(response.error().message);
-        co_return true;
+        this->recordStoreFailure(response.error().message);
+        co_return std::nullopt;
     }
-    this->recordStoreReached();
-    auto merge = this->applyChanges(*response, requestedAt);
-    if (merge == StoreCopy::Merge::Changed)
-        co_await this->awaitBatch();
-    co_return merge != StoreCopy::Merge::ReadAgain;
+    this->recordStoreReply();
+    if (load != this->loads)
+        co_return StoreCopy::Merge::Ignored;
+    co_return this->applyChanges(*response, requestedAt);
+}
+
+// Returns std::nullopt if the instance did not reply, or can't tell what has changed.
+asio::awaitable<std::optional<StoreCopy::Merge>> StoreMirror::requestFromPeer(std::string address, Milliseconds wait)
+{
+    unsigned load = this->loads;
+    auto response = co_await this->parts.relay->requestChanges(address, this->copy.revision(), wait);
+    if (!response)
+        co_return std::nullopt;
+    if (load != this->loads)
+        co_return StoreCopy::Merge::Ignored;
+    co_return this->applyChanges(response->changes, response->confirmedAt);
 }
 
 StoreCopy::Merge StoreMirror::applyChanges(const KeyChanges& response, TimePoint confirmedAt)
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "catkinlock/metadata_store.h"
+#include "catkinlock/view_budget.h"
 #include "libsession/relay_choice.h"
 #include "libsession/store_copy.h"
-#include "libsession/view_freshness.h"
+#include "libsession/view_sources.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -15,11 +16,13 @@
 namespace catkinlock {
 
 class TimeSource;
+class ViewFreshness;
 class ViewRelay;
 
 /// Keeps a local copy of all keys of the metadata store, from the store itself or through a relay, and records each
-/// confirmation that the copy is up to date. Reads the whole store again once a response shows that the store was
-/// restored from an older copy. Runs on the control thread.
+/// confirmation that the copy is up to date. A copy that is overdue by the budget is confirmed by further sources, the
+/// store among them, while the ordinary poll goes on. Reads the whole store again once a response shows that the store
+/// was restored from an older copy. Runs on the control thread.
 class StoreMirror : public std::enable_shared_from_this<StoreMirror> {
 public:
     struct Parts {
@@ -27,6 +30,9 @@
         std::shared_ptr<ViewRelay> relay;
         std::shared_ptr<ViewFreshness> freshness;
         std::shared_ptr<TimeSource> time;
+        ViewBudget budget;
+        /// Part of `ViewBudget::overdueSpread` by which this instance starts later than others, 0 to 1.
+        double overdueOffset = 0;
     };
     struct Hooks {
         /// Called after the copy has changed.
@@ -38,6 +44,8 @@
     StoreMirror(boost::asio::io_context&, Parts, Hooks);
 
     void start();
+    /// Replaces the time limits.
+    void updateBudget(const ViewBudget& budget) { this->parts.budget = budget; }
     /// Starts no further poll; a running one is completed.
     void stop() { this->stopped = true; }
     const std::map<std::string, KeyValue>& values() const { return this->copy.values(); }
@@ -54,26 +62,33 @@
     boost::asio::awaitable<bool> load();
     boost::asio::awaitable<bool> poll();
     boost::asio::awaitable<bool> pollStore();
-    boost::asio::awaitable<bool> pollRelay(std::string address);
-    void skipRelay(const std::string& address);
-    std::string selectRelay(TimePoint now) const;
+    boost::asio::awaitable<bool> pollPeer(std::string address);
+    boost::asio::awaitable<void> confirmOverdue();
+    void requestFromFurtherSources(unsigned attempt);
+    boost::asio::awaitable<std::optional<StoreCopy::Merge>> requestFromStore(Milliseconds wait);
+    boost::asio::awaitable<std::optional<StoreCopy::Merge>> requestFromPeer(std::string address, Milliseconds wait);
+    boost::asio::awaitable<void> readAgainIfNeeded(boost::asio::awaitable<std::optional<StoreCopy::Merge>>);
+    Milliseconds viewAge() const;
+    bool isOverdue() const { return this->viewAge() > this->parts.budget.overdueAfter; }
     StoreCopy::Merge applyChanges(const KeyChanges&, TimePoint confirmedAt);
     boost::asio::awaitable<void> awaitBatch();
-    boost::asio::awaitable<void> backOff(const std::string& message);
-    void recordStoreReached();
+    void recordStoreFailure(const std::string& message);
+    void recordStoreReply();
 
     boost::asio::io_context& context;
     Parts parts;
     Hooks hooks;
-    // The store is skipped until this time if a relay is available.
-    TimePoint storeRetryAt;
-    // Relays that did not reply, by address, and the time until which they are skipped.
-    std::map<std::string, TimePoint> relayRetryAt;
+    ViewSources sources;
+    // Start of the last call to the store.
+    TimePoint storeCalledAt;
+    // The instance that the ordinary poll waits for; empty if it is the store.
+    std::string polledPeer;
     StoreCopy copy;
     std::optional<TimePoint> learnedOfRestoreAt;
-    // Failed calls to the store since the last successful one.
-    unsigned consecutiveFailures = 0;
     bool loaded = false;
+    // Number of times that reading the whole store has begun. Replies to requests from before are dropped, since the
+    // contents that were read may be newer.
+    unsigned loads = 0;
     bool stopped = false;
 };
 
--- a/src/libsession/store_restore_test.cpp
+++ b/src/libsession/store_restore_test.cpp
@@ -20,6 +20,7 @@
 namespace asio = boost::asio;
 
 constexpr const char* secret = "a-secret-of-the-test";
+const ViewBudget budget = deriveViewBudget(Milliseconds(3000), Milliseconds(5000)).value();
 // Longest time that a test waits for a condition.
 constexpr std::chrono::seconds patience { 20 };
 
@@ -30,7 +31,8 @@
         , link(std::make_shared<PeerLink>(context, secret))
         , store(std::make_shared<platform::KvStore>(context, storeAddress))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(context, ViewRelay::Parts { this->link, this->time, this->freshness }))
+        , relay(std::make_shared<ViewRelay>(
+              context, ViewRelay::Parts { this->link, this->time, this->freshness, budget }))
     {
         this->plan.pollsStore = follows.empty();
         if (!follows.empty())
@@ -43,7 +45,7 @@
                 this->relay->receiveReply(envelope.changes_reply());
         });
         this->mirror = std::make_shared<StoreMirror>(context,
-            StoreMirror::Parts { this->store, this->relay, this->freshness, this->time },
+            StoreMirror::Parts { this->store, this->relay, this->freshness, this->time, budget },
             StoreMirror::Hooks { [] {}, [this] { return this->plan; } });
         this->mirror->start();
     }
@@ -236,7 +238,7 @@
     auto link = std::make_shared<PeerLink>(this->context, secret);
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(4700));
     auto behind = std::make_shared<ViewRelay>(
-        this->context, ViewRelay::Parts { link, std::make_shared<SystemTime>(this->context), freshness });
+        this->context, ViewRelay::Parts { link, std::make_shared<SystemTime>(this->context), freshness, budget });
     std::string address = link->bind("127.0.0.1:0");
     unsigned requests = 0;
     link->start([&](const wire::Envelope& envelope) {
@@ -247,7 +249,7 @@
     freshness->confirm(Clock::now());
     behind->restart(2);
     behind->append({ 1000, { { "servers/a", "of the first era", 1000, false } }, false });
-    follower.plan = { false, { address } };
+    follower.plan = { false, { address }, {} };
     ASSERT_TRUE(this->runUntil([&] { return requests > 0; }));
     this->service->put("servers/b", "newest");
     bool mixed = false;
--- a/src/libsession/supply_fleet.h
+++ b/src/libsession/supply_fleet.h
@@ -33,6 +33,7 @@
     boost::asio::io_context context;
     VirtualTime time;
     SupplyStore store { time };
+    const SupplyPlan plan;
 
 private:
     // A disruption of one instance, or of the store if `instance` is negative.
@@ -64,7 +65,6 @@
     Duration delay(Milliseconds least, Milliseconds greatest);
     Duration linkDelay(int from, int to);
 
-    const SupplyPlan plan;
     std::mt19937 random;
     FleetView view;
     std::vector<RelayPlan> relayPlans;
--- a/src/libsession/supply_instance.cpp
+++ b/src/libsession/supply_instance.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-    // Maximum age of a view on a small site.
-    constexpr Milliseconds maxViewAge { 4700 };
-
     // The first version after a revision; the end if there is none.
     std::vector<Version>::const_iterator firstAfter(const std::vector<Version>& versions, std::int64_t revision)
     {
@@ -34,14 +31,17 @@
 
 void SupplyInstance::build()
 {
-    this->freshness = std::make_shared<ViewFreshness>(maxViewAge);
+    const SupplyPlan& plan = this->fleet.plan;
+    ViewBudget budget = deriveViewBudget(plan.applyWithin, plan.revocation).value();
+    double offset = static_cast<double>(this->number) / plan.instances;
+    this->freshness = std::make_shared<ViewFreshness>(budget.maxAge);
     this->relay = std::make_shared<ViewRelay>(this->fleet.context,
         ViewRelay::Parts {
-            std::make_shared<SupplyPeerLink>(this->fleet, this->number), this->ownProcess, this->freshness });
+            std::make_shared<SupplyPeerLink>(this->fleet, this->number), this->ownProcess, this->freshness, budget });
     auto store = std::make_shared<SupplyStoreClient>(this->fleet, this->number, this->ownProcess);
     this->mirror = std::make_shared<StoreMirror>(this->fleet.context,
-        StoreMirror::Parts { store, this->relay, this->freshness, this->ownProcess },
-        StoreMirror::Hooks { [] {}, [&plan = this->fleet.planOf(this->number)] { return plan; } });
+        StoreMirror::Parts { store, this->relay, this->freshness, this->ownProcess, budget, offset },
+        StoreMirror::Hooks { [] {}, [&sources = this->fleet.planOf(this->number)] { return sources; } });
 }
 
 void SupplyInstance::receive(const wire::Envelope& envelope)
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -15,10 +15,6 @@
 
 namespace {
 
-    // A relay whose own view is older than this replies that it is unavailable, so that its followers use another one.
-    constexpr Milliseconds maxServedViewAge { 3200 };
-    // Allowance for the network, added to the time for which the relay may hold the request.
-    constexpr Milliseconds networkMargin { 300 };
     // Further requests are answered at once.
     constexpr std::size_t maxHeldRequests = 4096;
     // Upper bound of the hold time that a follower may request.
@@ -66,7 +62,11 @@
     this->replyToHeldRequests();
 }
 
-bool ViewRelay::isFreshEnough(TimePoint now) const { return this->parts.freshness->age(now) < maxServedViewAge; }
+// A relay whose own view is overdue replies that it is unavailable, so that its followers use another one.
+bool ViewRelay::isOverdue(TimePoint now) const
+{
+    return this->parts.freshness->age(now) > this->parts.budget.overdueAfter;
+}
 
 void ViewRelay::sendReply(const HeldRequest& request)
 {
@@ -82,7 +82,7 @@
         reply.mutable_lost_configuration()->set_key(lost->key);
         reply.mutable_lost_configuration()->set_value(lost->value);
     }
-    if (!changes || !this->isFreshEnough(now)) {
+    if (!changes || this->isOverdue(now)) {
         reply.set_unavailable(true);
         this->parts.link->send(request.sender, envelope);
         return;
@@ -112,8 +112,7 @@
     HeldRequest held { sender, request.id(), request.after_revision(), now + wait };
     bool otherEra = !StoreRevision::sameEra(held.after, this->log.revision());
     bool hasChanges = this->log.revision() > held.after;
-    if (hasChanges || otherEra || !wait.count() || !this->isFreshEnough(now)
-        || this->heldRequests.size() >= maxHeldRequests)
+    if (hasChanges || otherEra || !wait.count() || this->isOverdue(now) || this->heldRequests.size() >= maxHeldRequests)
         return this->sendReply(held);
     this->heldRequests.push_back(held);
     if (this->heldRequests.size() > 1)
@@ -171,7 +170,7 @@
     request.set_after_revision(after);
     request.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
     if (this->parts.link->send(address, envelope)) {
-        spawn(this->context, [time = this->parts.time, pending, limit = wait + networkMargin] {
+        spawn(this->context, [time = this->parts.time, pending, limit = wait + this->parts.budget.attemptTimeout] {
             return endAfter(time, pending, limit);
         });
         co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/src/libsession/view_relay.h
+++ b/src/libsession/view_relay.h
@@ -2,6 +2,7 @@
 
 #include "catkinlock/clock.h"
 #include "catkinlock/metadata_store.h"
+#include "catkinlock/view_budget.h"
 #include "libsession/change_log.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -39,6 +40,7 @@
         std::shared_ptr<PeerSender> link;
         std::shared_ptr<TimeSource> time;
         std::shared_ptr<ViewFreshness> freshness;
+        ViewBudget budget;
     };
     struct Hooks {
         /// The newest configuration that this instance knows, if the store has only an older one.
@@ -49,20 +51,22 @@
 
     ViewRelay(boost::asio::io_context&, Parts, Hooks = {});
 
+    /// Replaces the time limits.
+    void updateBudget(const ViewBudget& budget) { this->parts.budget = budget; }
     /// Clears the change log, after the whole store was read again at `revision`. Replies to all held requests.
     void restart(std::int64_t revision);
     /// Adds changes to the log, after the copy of the store was confirmed. Replies to all held requests, also if there
     /// are no changes, since the reply passes the confirmation on.
     void append(const KeyChanges&);
     /// Replies to a follower at once if there are changes, if the request allows no wait, if this instance's view is
-    /// too old or of another era of the store than the request, or if too many requests are held. Otherwise holds the
+    /// overdue or of another era of the store than the request, or if too many requests are held. Otherwise holds the
     /// request until there are changes or a confirmation, or until the wait of the earliest held request is over.
     void receiveRequest(const std::string& sender, const wire::ChangesRequest&);
     /// Completes the pending request that the reply belongs to; a late or unknown reply is ignored.
     void receiveReply(const wire::ChangesReply&);
     /// Requests the changes after revision `after` from the instance at `address`, which may hold the request for up to
     /// `wait`. Returns std::nullopt if the request can't be sent, if no reply arrives in time, or if the relay's view
-    /// is too old, is of an earlier era, or its log does not reach back to `after`.
+    /// is overdue, is of an earlier era, or its log does not reach back to `after`.
     boost::asio::awaitable<std::optional<RelayedChanges>> requestChanges(
         std::string address, std::int64_t after, Milliseconds wait);
 
@@ -83,7 +87,7 @@
     void sendReply(const HeldRequest&);
     void replyToHeldRequests();
     boost::asio::awaitable<void> replyAfter(Milliseconds wait);
-    bool isFreshEnough(TimePoint now) const;
+    bool isOverdue(TimePoint now) const;
 
     boost::asio::io_context& context;
     Parts parts;
--- a/src/libsession/view_supply_simulation.h
+++ b/src/libsession/view_supply_simulation.h
@@ -61,6 +61,9 @@
     int dataCentres = 2;
     /// True if all data centres but the first one have one instance only.
     bool uneven = false;
+    /// The bounds from which the instances derive their time limits.
+    Milliseconds applyWithin { 3000 };
+    Milliseconds revocation { 5000 };
     /// Seed of all delays.
     unsigned seed = 0;
     Milliseconds length { 16'000 };
--- a/src/libsession/view_supply_test.cpp
+++ b/src/libsession/view_supply_test.cpp
@@ -137,6 +137,7 @@
 void expectInTime(SupplyPlan plan, const SiteBounds& bounds)
 {
     int late = 0;
+    plan.applyWithin = bounds.configApply;
     SupplyPlan worstPlan = plan;
     SupplyDelay worst;
     for (plan.seed = 1; plan.seed <= delaySeeds; ++plan.seed) {
@@ -168,8 +169,9 @@
     return most + maxIdleCallsInASecond;
 }
 
-void judgeGenerated(const SupplyPlan& plan, const SiteBounds& bounds)
+void judgeGenerated(SupplyPlan plan, const SiteBounds& bounds)
 {
+    plan.applyWithin = bounds.configApply;
     SupplyRun run = simulateSupply(plan);
     SupplyDelay longest = run.longestDelay(bounds.contact);
     if (longest.length > bounds.configApply)
