Count a relayed confirmation from the relay's reply instead of from the follower's request

Cause: the age in a reply was counted back from the time at which the request was sent, and the relay holds a request for up to a poll. A view in calm looked three polls old instead of two.

Change: the reply says for how long the request was held, rounded down; the confirmation counts from request plus hold less age, which is still never later than it was.

--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -89,6 +89,8 @@
     }
     // Rounded up, because a view must never appear fresher than it is.
     reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->parts.freshness->age(now).count()) + 1);
+    // Rounded down, for the same reason.
+    reply.set_held_ms(static_cast<std::uint64_t>(std::chrono::floor<Milliseconds>(now - request.receivedAt).count()));
     for (const KeyValue& change : *changes) {
         wire::TableEntry& entry = *reply.add_changes();
         entry.set_key(change.key);
@@ -109,7 +111,7 @@
 {
     TimePoint now = this->parts.time->now();
     Milliseconds wait(std::min(request.wait_ms(), maxHoldMs));
-    HeldRequest held { sender, request.id(), request.after_revision(), now + wait };
+    HeldRequest held { sender, request.id(), request.after_revision(), now, now + wait };
     bool otherEra = !StoreRevision::sameEra(held.after, this->log.revision());
     bool hasChanges = this->log.revision() > held.after;
     if (hasChanges || otherEra || !wait.count() || this->isOverdue(now) || this->heldRequests.size() >= maxHeldRequests)
@@ -147,9 +149,9 @@
         relayed.changes.revision = reply.revision();
         for (const wire::TableEntry& entry : reply.changes())
             relayed.changes.changes.push_back({ entry.key(), entry.value(), entry.revision(), entry.deleted() });
-        // The age was measured after the request was sent, so counting it back from the time of sending never makes the
-        // confirmation look later than it was.
-        relayed.confirmedAt = pending->sentAt - Milliseconds(reply.confirmed_age_ms());
+        // The relay received the request after it was sent and measured the age after it had held the request, so this
+        // never makes the confirmation look later than it was.
+        relayed.confirmedAt = pending->sentAt + Milliseconds(reply.held_ms()) - Milliseconds(reply.confirmed_age_ms());
         pending->reply = std::move(relayed);
     }
     pending->ended.cancel();
--- a/src/libsession/view_relay.h
+++ b/src/libsession/view_relay.h
@@ -76,6 +76,7 @@
         std::string sender;
         std::uint64_t id = 0;
         std::int64_t after = 0;
+        TimePoint receivedAt;
         TimePoint until;
     };
     // A request of this instance that waits for its reply.
