Confirm a view only once it is the one in use

What callers could see: a request that was checked against a view which counted as confirmed and did not contain the change yet.

Cause: a reply confirmed the age of the view in use first, and the view was built afterwards, on a share of a core.

Change: followers get the changes with the time of their own confirmation, which ViewRelay keeps with its log; then the view is built and published; then it counts as confirmed.

Evidence: SupplyInstance checks at each publication that the view in use does not count as fresher than it is; view_supply_test is green with this change. The check was not run against the former order.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -169,8 +169,7 @@
                 asio::post(this->requests,
                     [groups = this->sessions->groups, member, observation] { groups->recordLag(member, observation); });
             } });
-    this->relay = std::make_shared<ViewRelay>(this->control,
-        ViewRelay::Parts { this->link, this->time, this->freshness, this->budget },
+    this->relay = std::make_shared<ViewRelay>(this->control, ViewRelay::Parts { this->link, this->time, this->budget },
         ViewRelay::Hooks { [this] { return this->builder.lostConfiguration(); },
             [this](const KeyValue& document) { this->learnConfiguration(document); } });
     this->records = std::make_shared<RecordKeeper>(
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -6,7 +6,6 @@
 #include "libsession/relay_choice.h"
 #include "libsession/slot_directory.h"
 #include "libsession/system_time.h"
-#include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
 #include "standin/run_to_end.h"
@@ -45,9 +44,8 @@
 struct Peer {
     explicit Peer(boost::asio::io_context& context)
         : link(std::make_shared<PeerLink>(context, secret))
-        , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
         , relay(std::make_shared<ViewRelay>(context,
-              ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context), this->freshness,
+              ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context),
                   deriveViewBudget(Milliseconds(3000), Milliseconds(5000)).value() }))
     {
         this->address = this->link->bind("127.0.0.1:0");
@@ -59,7 +57,6 @@
         });
     }
     std::shared_ptr<PeerLink> link;
-    std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<ViewRelay> relay;
     std::string address;
 };
@@ -234,9 +231,8 @@
     Peer relay(context);
     Peer follower(context);
     TimePoint now = Clock::now();
-    relay.freshness->confirm(now - Milliseconds(900));
-    relay.relay->restart(10);
-    relay.relay->append({ 11, { change(11) }, false });
+    relay.relay->restart(10, now - Milliseconds(1000));
+    relay.relay->append({ 11, { change(11) }, false }, now - Milliseconds(900));
     auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.revision, 11);
@@ -250,10 +246,9 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now() - Milliseconds(3300));
-    relay.relay->restart(10);
+    relay.relay->restart(10, Clock::now() - Milliseconds(3300));
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(1000)));
-    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10, Clock::now());
     // The relay's log starts at revision 10, so it can't report the changes after revision 9.
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 9, Milliseconds(0)));
     EXPECT_TRUE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
@@ -265,10 +260,9 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now());
-    relay.relay->restart(10);
+    relay.relay->restart(10, Clock::now());
     KeyValue odd { "odd", std::string("\xff\xfe\0", 3), 11, false };
-    relay.relay->append({ 12, { odd, change(12) }, false });
+    relay.relay->append({ 12, { odd, change(12) }, false }, Clock::now());
     auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.changes, (std::vector<KeyValue> { odd, change(12) }));
@@ -279,9 +273,9 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now());
-    relay.relay->restart(10);
-    relay.relay->append({ 12, { { "odd", std::string(5 << 20, 'a'), 11, false }, change(12) }, false });
+    relay.relay->restart(10, Clock::now());
+    KeyValue large { "odd", std::string(5 << 20, 'a'), 11, false };
+    relay.relay->append({ 12, { large, change(12) }, false }, Clock::now());
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
     auto reply = requestOnce(context, follower, relay.address, 11, Milliseconds(0));
     ASSERT_TRUE(reply);
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -89,13 +89,13 @@
         co_return false;
     if (before && !StoreRevision::sameEra(before, this->copy.revision()))
         this->learnedOfRestoreAt = this->parts.time->now();
-    this->parts.freshness->confirm(requestedAt);
-    this->parts.relay->restart(this->copy.revision());
+    this->parts.relay->restart(this->copy.revision(), requestedAt);
     writeLog(LogLevel::Info, "store_read",
         { { "era", text(StoreRevision::fromSequence(this->copy.revision()).era) },
             { "revision", text(StoreRevision::fromSequence(this->copy.revision()).number) },
             { "keys", fmt::format("{}", this->copy.values().size()) } });
     this->hooks.changed();
+    this->parts.freshness->confirm(requestedAt);
     co_return true;
 }
 
@@ -225,10 +225,11 @@
                 { "revision", text(StoreRevision::fromSequence(this->copy.revision()).number) } });
     if (merge == StoreCopy::Merge::ReadAgain || merge == StoreCopy::Merge::Ignored)
         return merge;
-    this->parts.freshness->confirm(confirmedAt);
-    this->parts.relay->append(response);
+    this->parts.relay->append(response, confirmedAt);
     if (merge == StoreCopy::Merge::Changed)
         this->hooks.changed();
+    // The view in use counts as confirmed only once it contains the changes.
+    this->parts.freshness->confirm(confirmedAt);
     return merge;
 }
 
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -35,7 +35,7 @@
         double overdueOffset = 0;
     };
     struct Hooks {
-        /// Called after the copy has changed.
+        /// Called after the copy has changed, before the change counts as confirmed.
         std::function<void()> changed;
         /// Returns the sources to read from; its `relays` are peer addresses instead of instance names.
         std::function<RelayPlan()> plan;
--- a/src/libsession/store_restore_test.cpp
+++ b/src/libsession/store_restore_test.cpp
@@ -32,7 +32,7 @@
         , store(std::make_shared<platform::KvStore>(context, storeAddress))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
         , relay(std::make_shared<ViewRelay>(
-              context, ViewRelay::Parts { this->link, this->time, this->freshness, budget }))
+              context, ViewRelay::Parts { this->link, this->time, budget }))
     {
         this->plan.pollsStore = follows.empty();
         if (!follows.empty())
@@ -236,9 +236,8 @@
     ASSERT_TRUE(this->awaitSameContents(follower));
     // A relay that still has the first era, with higher revisions.
     auto link = std::make_shared<PeerLink>(this->context, secret);
-    auto freshness = std::make_shared<ViewFreshness>(Milliseconds(4700));
     auto behind = std::make_shared<ViewRelay>(
-        this->context, ViewRelay::Parts { link, std::make_shared<SystemTime>(this->context), freshness, budget });
+        this->context, ViewRelay::Parts { link, std::make_shared<SystemTime>(this->context), budget });
     std::string address = link->bind("127.0.0.1:0");
     unsigned requests = 0;
     link->start([&](const wire::Envelope& envelope) {
@@ -246,9 +245,8 @@
         if (envelope.has_changes_request())
             behind->receiveRequest(envelope.sender(), envelope.changes_request());
     });
-    freshness->confirm(Clock::now());
-    behind->restart(2);
-    behind->append({ 1000, { { "servers/a", "of the first era", 1000, false } }, false });
+    behind->restart(2, Clock::now());
+    behind->append({ 1000, { { "servers/a", "of the first era", 1000, false } }, false }, Clock::now());
     follower.plan = { false, { address }, {} };
     ASSERT_TRUE(this->runUntil([&] { return requests > 0; }));
     this->service->put("servers/b", "newest");
--- a/src/libsession/supply_instance.cpp
+++ b/src/libsession/supply_instance.cpp
@@ -7,6 +7,7 @@
 #include "peer.pb.h"
 #include <algorithm>
 #include <fmt/format.h>
+#include <utility>
 
 namespace catkinlock::simulation {
 
@@ -36,12 +37,24 @@
     double offset = static_cast<double>(this->number) / plan.instances;
     this->freshness = std::make_shared<ViewFreshness>(budget.maxAge);
     this->relay = std::make_shared<ViewRelay>(this->fleet.context,
-        ViewRelay::Parts {
-            std::make_shared<SupplyPeerLink>(this->fleet, this->number), this->ownProcess, this->freshness, budget });
+        ViewRelay::Parts { std::make_shared<SupplyPeerLink>(this->fleet, this->number), this->ownProcess, budget });
     auto store = std::make_shared<SupplyStoreClient>(this->fleet, this->number, this->ownProcess);
     this->mirror = std::make_shared<StoreMirror>(this->fleet.context,
         StoreMirror::Parts { store, this->relay, this->freshness, this->ownProcess, budget, offset },
-        StoreMirror::Hooks { [] {}, [&sources = this->fleet.planOf(this->number)] { return sources; } });
+        StoreMirror::Hooks {
+            [this] { this->publish(); }, [&sources = this->fleet.planOf(this->number)] { return sources; } });
+}
+
+// Stands for building the view in use from the copy.
+void SupplyInstance::publish()
+{
+    const auto& versions = this->fleet.store.versions();
+    auto lacking = firstAfter(versions, this->publishedVersion);
+    CopyState state = this->state();
+    if (this->publishedVersion && lacking != versions.end() && state.confirmedAt > lacking->acknowledgedAt)
+        this->publishFault = fmt::format("the view in use counts as confirmed at {} ms and lacks version {}",
+            state.confirmedAt.count(), lacking->revision);
+    this->publishedVersion = state.version;
 }
 
 void SupplyInstance::receive(const wire::Envelope& envelope)
@@ -66,7 +79,9 @@
 
 std::string SupplyInstance::check()
 {
-    std::string fault = this->checkOrder();
+    std::string fault = std::exchange(this->publishFault, "");
+    if (fault.empty())
+        fault = this->checkOrder();
     if (fault.empty())
         fault = this->checkAgainstStore();
     this->lastRevision = this->mirror->revision();
--- a/src/libsession/supply_instance.h
+++ b/src/libsession/supply_instance.h
@@ -31,6 +31,7 @@
 private:
     /// Makes the parts under test.
     void build();
+    void publish();
     std::string checkOrder() const;
     std::string checkAgainstStore() const;
 
@@ -40,6 +41,9 @@
     std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<ViewRelay> relay;
     std::shared_ptr<StoreMirror> mirror;
+    // The version in the view in use; 0 before the first one.
+    std::int64_t publishedVersion = 0;
+    std::string publishFault;
     // As of the last check.
     std::int64_t lastRevision = 0;
     std::int64_t lastVersion = 0;
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -4,7 +4,6 @@
 #include "catkinlock/store_revision.h"
 #include "libsession/spawn.h"
 #include "libsession/time_source.h"
-#include "libsession/view_freshness.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
 #include <random>
@@ -50,23 +49,24 @@
 {
 }
 
-void ViewRelay::restart(std::int64_t revision)
+void ViewRelay::restart(std::int64_t revision, TimePoint confirmedAt)
 {
+    this->logConfirmedAt = confirmedAt;
     this->log.restart(revision);
     this->replyToHeldRequests();
 }
 
-void ViewRelay::append(const KeyChanges& changes)
+void ViewRelay::append(const KeyChanges& changes, TimePoint confirmedAt)
 {
+    this->logConfirmedAt = std::max(this->logConfirmedAt, confirmedAt);
     this->log.append(changes.changes, changes.revision);
     this->replyToHeldRequests();
 }
 
+Milliseconds ViewRelay::age(TimePoint now) const { return std::chrono::ceil<Milliseconds>(now - this->logConfirmedAt); }
+
 // A relay whose own view is overdue replies that it is unavailable, so that its followers use another one.
-bool ViewRelay::isOverdue(TimePoint now) const
-{
-    return this->parts.freshness->age(now) > this->parts.budget.overdueAfter;
-}
+bool ViewRelay::isOverdue(TimePoint now) const { return this->age(now) > this->parts.budget.overdueAfter; }
 
 void ViewRelay::sendReply(const HeldRequest& request)
 {
@@ -88,7 +88,7 @@
         return;
     }
     // Rounded up, because a view must never appear fresher than it is.
-    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->parts.freshness->age(now).count()) + 1);
+    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->age(now).count()));
     // Rounded down, for the same reason.
     reply.set_held_ms(static_cast<std::uint64_t>(std::chrono::floor<Milliseconds>(now - request.receivedAt).count()));
     for (const KeyValue& change : *changes) {
--- a/src/libsession/view_relay.h
+++ b/src/libsession/view_relay.h
@@ -21,7 +21,6 @@
 
 class PeerSender;
 class TimeSource;
-class ViewFreshness;
 
 /// A relay's reply to a follower.
 struct RelayedChanges {
@@ -39,7 +38,6 @@
     struct Parts {
         std::shared_ptr<PeerSender> link;
         std::shared_ptr<TimeSource> time;
-        std::shared_ptr<ViewFreshness> freshness;
         ViewBudget budget;
     };
     struct Hooks {
@@ -53,11 +51,12 @@
 
     /// Replaces the time limits.
     void updateBudget(const ViewBudget& budget) { this->parts.budget = budget; }
-    /// Clears the change log, after the whole store was read again at `revision`. Replies to all held requests.
-    void restart(std::int64_t revision);
-    /// Adds changes to the log, after the copy of the store was confirmed. Replies to all held requests, also if there
-    /// are no changes, since the reply passes the confirmation on.
-    void append(const KeyChanges&);
+    /// Clears the change log, after the whole store was read again at `revision`, which includes everything that the
+    /// store had acknowledged by `confirmedAt`. Replies to all held requests.
+    void restart(std::int64_t revision, TimePoint confirmedAt);
+    /// Adds changes to the log, which then includes everything that the store had acknowledged by `confirmedAt`.
+    /// Replies to all held requests, also if there are no changes, since the reply passes the confirmation on.
+    void append(const KeyChanges&, TimePoint confirmedAt);
     /// Replies to a follower at once if there are changes, if the request allows no wait, if this instance's view is
     /// overdue or of another era of the store than the request, or if too many requests are held. Otherwise holds the
     /// request until there are changes or a confirmation, or until the wait of the earliest held request is over.
@@ -88,12 +87,15 @@
     void sendReply(const HeldRequest&);
     void replyToHeldRequests();
     boost::asio::awaitable<void> replyAfter(Milliseconds wait);
+    Milliseconds age(TimePoint now) const;
     bool isOverdue(TimePoint now) const;
 
     boost::asio::io_context& context;
     Parts parts;
     Hooks hooks;
     ChangeLog log;
+    // The log includes everything that the store had acknowledged by this time.
+    TimePoint logConfirmedAt;
     std::vector<HeldRequest> heldRequests;
     std::map<std::uint64_t, std::shared_ptr<PendingRequest>> pendingRequests;
     std::uint64_t lastRequestId = 0;
