Use a view beyond the time of a configuration only while the store does not reply

What callers saw: between 3,000 and 4,700 ms an instance on a small site served by a view that it knew to be too old for the rule.

Cause: the only limit on the use of a view was that of withdrawn keys, revocation_ms less 300 ms.

Change: ViewFreshness has a second limit, apply_ms, for an instance whose last call to the store did not fail.

Evidence: ViewFreshness.AnInstanceThatReachesTheStoreUsesAViewNoLongerThanAConfigurationMayTake, which does not compile without the change; an instance that reaches the store confirms its view before, by the budget.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -155,7 +155,7 @@
     , readSettings(std::move(readSettings))
     , platform(makePlatform(this->control, this->settings))
     , budget(this->settings.viewBudget().value())
-    , freshness(std::make_shared<ViewFreshness>(this->budget.maxAge))
+    , freshness(std::make_shared<ViewFreshness>(this->budget.maxAge, this->budget.applyWithin))
     , builder(this->platform.documentSource)
 {
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
@@ -532,7 +532,7 @@
         return;
     this->settings = *next;
     this->budget = next->viewBudget().value();
-    this->freshness->setMaxAge(this->budget.maxAge);
+    this->freshness->setMaxAge(this->budget.maxAge, this->budget.applyWithin);
     this->relay->updateBudget(this->budget);
     this->mirror->updateBudget(this->budget);
 }
--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -6,6 +6,7 @@
 #include "libsession/relay_choice.h"
 #include "libsession/slot_directory.h"
 #include "libsession/system_time.h"
+#include "libsession/view_freshness.h"
 #include "libsession/view_relay.h"
 #include "peer.pb.h"
 #include "standin/run_to_end.h"
@@ -281,3 +282,18 @@
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.changes, std::vector<KeyValue> { change(12) });
 }
+
+TEST(ViewFreshness, AnInstanceThatReachesTheStoreUsesAViewNoLongerThanAConfigurationMayTake)
+{
+    ViewFreshness freshness(Milliseconds(4700), Milliseconds(3000));
+    TimePoint now = Clock::now();
+    freshness.confirm(now);
+    EXPECT_TRUE(freshness.isFresh(now + Milliseconds(2999)));
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
+    // It is not in touch with the store.
+    freshness.recordStoreCall(true);
+    EXPECT_TRUE(freshness.isFresh(now + Milliseconds(4699)));
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(4700)));
+    freshness.recordStoreCall(false);
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
+}
--- a/src/libsession/view_freshness.h
+++ b/src/libsession/view_freshness.h
@@ -1,22 +1,31 @@
 #pragma once
 
 #include "catkinlock/clock.h"
+#include <algorithm>
 #include <atomic>
 
 namespace catkinlock {
 
 /// Tracks the age of this instance's view of the metadata store against its maximum age. The maximum age bounds how
 /// long an instance keeps using a withdrawn key, an old primary or an old share of a rate. A process that changes one
-/// of these waits until every instance has either seen the change or stopped using its old view. Written by the control
-/// thread, read by any thread.
+/// of these waits until every instance has either seen the change or stopped using its old view. An instance that could
+/// confirm its view, because the store replies to it, uses it only as long as a configuration may take to be in force.
+/// Written by the control thread, read by any thread.
 class ViewFreshness {
 public:
-    /// `maxViewAge`: maximum age of a view, counted from its last confirmation.
-    explicit ViewFreshness(Milliseconds maxViewAge)
-        : maxViewAge(maxViewAge)
+    /// `maxViewAge`: maximum age of a view, counted from its last confirmation. `maxAgeInTouch`: the same while this
+    /// instance isn't known to be cut off from the store.
+    explicit ViewFreshness(Milliseconds maxViewAge, Milliseconds maxAgeInTouch = Milliseconds::max())
     {
+        this->setMaxAge(maxViewAge, maxAgeInTouch);
     }
-    void setMaxAge(Milliseconds next) { this->maxViewAge.store(next); }
+    void setMaxAge(Milliseconds maxViewAge, Milliseconds maxAgeInTouch)
+    {
+        this->maxViewAge.store(maxViewAge);
+        this->maxAgeInTouch.store(std::min(maxViewAge, maxAgeInTouch));
+    }
+    /// Records whether the last call of this instance to the store failed.
+    void recordStoreCall(bool failed) { this->storeFails.store(failed); }
 
     /// Records that the view contains every change that the store had acknowledged by `asOf`.
     void confirm(TimePoint asOf)
@@ -27,7 +36,11 @@
     /// Time as of which the view was last confirmed; the clock's epoch if it never was.
     TimePoint confirmed() const { return this->confirmedAt.load(); }
     /// True if the view may be used at `now`.
-    bool isFresh(TimePoint now) const { return now - this->confirmedAt.load() < this->maxViewAge.load(); }
+    bool isFresh(TimePoint now) const
+    {
+        auto limit = this->storeFails.load() ? this->maxViewAge.load() : this->maxAgeInTouch.load();
+        return now - this->confirmedAt.load() < limit;
+    }
     /// True if more than `fraction` (0 to 1) of the maximum age remains at `now`.
     bool hasRemaining(TimePoint now, double fraction) const
     {
@@ -41,7 +54,9 @@
     }
 
 private:
-    std::atomic<Milliseconds> maxViewAge;
+    std::atomic<Milliseconds> maxViewAge { Milliseconds(0) };
+    std::atomic<Milliseconds> maxAgeInTouch { Milliseconds(0) };
+    std::atomic<bool> storeFails { false };
     std::atomic<TimePoint> confirmedAt { TimePoint() };
 };
 
