Close the idle connections to the platform after a call without a response

What callers saw: an instance whose connections to the store fell silent together, while new ones worked, had no confirmed view for up to 6,256 ms (schedules of the supply of views, bound 3,000 ms), also on large sites (5,000 ms).

Cause: the HTTP client keeps up to four idle connections and reuses the last one first; only the one that timed out was closed, so that the others timed out one after another.

Change: a call that ends without a response closes all idle connections.

Evidence: HttpClient.ACallAfterOneWithoutAResponseUsesANewConnection fails without the line.

--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -89,8 +89,11 @@
         auto [readError, size] = co_await http::async_read(connection->stream, connection->buffer, parser, asTuple());
         error = readError;
     }
-    if (error)
+    if (error) {
+        // What silenced this connection may have silenced the idle ones too.
+        this->idle.clear();
         co_return tl::unexpected(maybeExecutedError("the platform's service did not respond: " + error.message()));
+    }
     auto message = parser.release();
     if (message.keep_alive() && this->idle.size() < maxIdleConnections)
         this->idle.push_back(connection);
--- a/src/libsession/supply_fleet.h
+++ b/src/libsession/supply_fleet.h
@@ -27,6 +27,8 @@
     void carry(const std::shared_ptr<SupplyCall>&, const SupplyRequest&);
     /// Delivers a message to the present run of an instance, unless the links lose it.
     void send(int from, const std::string& to, const wire::Envelope&);
+    /// Closes the idle connections of an instance to the store.
+    void closeIdleConnections(int instance) { this->staleConnections[static_cast<std::size_t>(instance)] = 0; }
     /// Records the outcome of a call if its instance is traced.
     void traceCall(const SupplyCall&, const SupplyRequest&);
 
--- a/src/libsession/supply_store_client.cpp
+++ b/src/libsession/supply_store_client.cpp
@@ -33,6 +33,8 @@
     this->fleet.carry(call, request);
     co_await call->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     this->fleet.traceCall(*call, request);
+    if (!*call->outcome)
+        this->fleet.closeIdleConnections(this->number);
     co_return *call->outcome;
 }
 
