--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -45,9 +45,9 @@
 struct Peer {
     explicit Peer(boost::asio::io_context& context)
         : link(std::make_shared<PeerLink>(context, secret))
-        , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(
-              context, ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context), this->freshness }))
+        , relay(std::make_shared<ViewRelay>(context,
+              ViewRelay::Parts { this->link, std::make_shared<SystemTime>(context),
+                  deriveViewBudget(Milliseconds(3000), Milliseconds(5000)).value() }))
     {
         this->address = this->link->bind("127.0.0.1:0");
         this->link->start([this](const wire::Envelope& envelope) {
@@ -58,7 +58,6 @@
         });
     }
     std::shared_ptr<PeerLink> link;
-    std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<ViewRelay> relay;
     std::string address;
 };
@@ -233,9 +232,8 @@
     Peer relay(context);
     Peer follower(context);
     TimePoint now = Clock::now();
-    relay.freshness->confirm(now - Milliseconds(900));
-    relay.relay->restart(10);
-    relay.relay->append({ 11, { change(11) }, false });
+    relay.relay->restart(10, now - Milliseconds(1000));
+    relay.relay->append({ 11, { change(11) }, false }, now - Milliseconds(900));
     auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.revision, 11);
@@ -249,10 +247,9 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now() - Milliseconds(3300));
-    relay.relay->restart(10);
+    relay.relay->restart(10, Clock::now() - Milliseconds(3300));
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(1000)));
-    relay.freshness->confirm(Clock::now());
+    relay.relay->restart(10, Clock::now());
     // The relay's log starts at revision 10, so it can't report the changes after revision 9.
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 9, Milliseconds(0)));
     EXPECT_TRUE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
@@ -264,10 +261,9 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now());
-    relay.relay->restart(10);
+    relay.relay->restart(10, Clock::now());
     KeyValue odd { "odd", std::string("\xff\xfe\0", 3), 11, false };
-    relay.relay->append({ 12, { odd, change(12) }, false });
+    relay.relay->append({ 12, { odd, change(12) }, false }, Clock::now());
     auto reply = requestOnce(context, follower, relay.address, 10, Milliseconds(0));
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.changes, (std::vector<KeyValue> { odd, change(12) }));
@@ -278,11 +274,26 @@
     boost::asio::io_context context;
     Peer relay(context);
     Peer follower(context);
-    relay.freshness->confirm(Clock::now());
-    relay.relay->restart(10);
-    relay.relay->append({ 12, { { "odd", std::string(5 << 20, 'a'), 11, false }, change(12) }, false });
+    relay.relay->restart(10, Clock::now());
+    KeyValue large { "odd", std::string(5 << 20, 'a'), 11, false };
+    relay.relay->append({ 12, { large, change(12) }, false }, Clock::now());
     EXPECT_FALSE(requestOnce(context, follower, relay.address, 10, Milliseconds(0)));
     auto reply = requestOnce(context, follower, relay.address, 11, Milliseconds(0));
     ASSERT_TRUE(reply);
     EXPECT_EQ(reply->changes.changes, std::vector<KeyValue> { change(12) });
 }
+
+TEST(ViewFreshness, AnInstanceThatReachesTheStoreUsesAViewNoLongerThanAConfigurationMayTake)
+{
+    ViewFreshness freshness(Milliseconds(4700), Milliseconds(3000));
+    TimePoint now = Clock::now();
+    freshness.confirm(now);
+    EXPECT_TRUE(freshness.isFresh(now + Milliseconds(2999)));
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
+    // It is not in touch with the store.
+    freshness.recordStoreCall(true);
+    EXPECT_TRUE(freshness.isFresh(now + Milliseconds(4699)));
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(4700)));
+    freshness.recordStoreCall(false);
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
+}
--- a/src/libsession/supply_fleet.h
+++ b/src/libsession/supply_fleet.h
@@ -27,12 +27,15 @@
     void carry(const std::shared_ptr<SupplyCall>&, const SupplyRequest&);
     /// Delivers a message to the present run of an instance, unless the links lose it.
     void send(int from, const std::string& to, const wire::Envelope&);
+    /// Closes the idle connections of an instance to the store.
+    void closeIdleConnections(int instance) { this->staleConnections[static_cast<std::size_t>(instance)] = 0; }
     /// Records the outcome of a call if its instance is traced.
     void traceCall(const SupplyCall&, const SupplyRequest&);
 
     boost::asio::io_context context;
     VirtualTime time;
     SupplyStore store { time };
+    const SupplyPlan plan;
 
 private:
     // A disruption of one instance, or of the store if `instance` is negative.
@@ -64,7 +67,6 @@
     Duration delay(Milliseconds least, Milliseconds greatest);
     Duration linkDelay(int from, int to);
 
-    const SupplyPlan plan;
     std::mt19937 random;
     FleetView view;
     std::vector<RelayPlan> relayPlans;
--- a/src/libsession/view_relay.cpp
+++ b/src/libsession/view_relay.cpp
@@ -4,7 +4,6 @@
 #include "catkinlock/store_revision.h"
 #include "libsession/spawn.h"
 #include "libsession/time_source.h"
-#include "libsession/view_freshness.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
 #include <random>
@@ -15,10 +14,6 @@
 
 namespace {
 
-    // A relay whose own view is older than this replies that it is unavailable, so that its followers use another one.
-    constexpr Milliseconds maxServedViewAge { 3200 };
-    // Allowance for the network, added to the time for which the relay may hold the request.
-    constexpr Milliseconds networkMargin { 300 };
     // Further requests are answered at once.
     constexpr std::size_t maxHeldRequests = 4096;
     // Upper bound of the hold time that a follower may request.
@@ -54,19 +49,24 @@
 {
 }
 
-void ViewRelay::restart(std::int64_t revision)
+void ViewRelay::restart(std::int64_t revision, TimePoint confirmedAt)
 {
+    this->logConfirmedAt = confirmedAt;
     this->log.restart(revision);
     this->replyToHeldRequests();
 }
 
-void ViewRelay::append(const KeyChanges& changes)
+void ViewRelay::append(const KeyChanges& changes, TimePoint confirmedAt)
 {
+    this->logConfirmedAt = std::max(this->logConfirmedAt, confirmedAt);
     this->log.append(changes.changes, changes.revision);
     this->replyToHeldRequests();
 }
 
-bool ViewRelay::isFreshEnough(TimePoint now) const { return this->parts.freshness->age(now) < maxServedViewAge; }
+Milliseconds ViewRelay::age(TimePoint now) const { return std::chrono::ceil<Milliseconds>(now - this->logConfirmedAt); }
+
+// A relay whose own view is overdue replies that it is unavailable, so that its followers use another one.
+bool ViewRelay::isOverdue(TimePoint now) const { return this->age(now) > this->parts.budget.overdueAfter; }
 
 void ViewRelay::sendReply(const HeldRequest& request)
 {
@@ -82,13 +82,15 @@
         reply.mutable_lost_configuration()->set_key(lost->key);
         reply.mutable_lost_configuration()->set_value(lost->value);
     }
-    if (!changes || !this->isFreshEnough(now)) {
+    if (!changes || this->isOverdue(now)) {
         reply.set_unavailable(true);
         this->parts.link->send(request.sender, envelope);
         return;
     }
     // Rounded up, because a view must never appear fresher than it is.
-    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->parts.freshness->age(now).count()) + 1);
+    reply.set_confirmed_age_ms(static_cast<std::uint64_t>(this->age(now).count()));
+    // Rounded down, for the same reason.
+    reply.set_held_ms(static_cast<std::uint64_t>(std::chrono::floor<Milliseconds>(now - request.receivedAt).count()));
     for (const KeyValue& change : *changes) {
         wire::TableEntry& entry = *reply.add_changes();
         entry.set_key(change.key);
@@ -109,11 +111,10 @@
 {
     TimePoint now = this->parts.time->now();
     Milliseconds wait(std::min(request.wait_ms(), maxHoldMs));
-    HeldRequest held { sender, request.id(), request.after_revision(), now + wait };
+    HeldRequest held { sender, request.id(), request.after_revision(), now, now + wait };
     bool otherEra = !StoreRevision::sameEra(held.after, this->log.revision());
     bool hasChanges = this->log.revision() > held.after;
-    if (hasChanges || otherEra || !wait.count() || !this->isFreshEnough(now)
-        || this->heldRequests.size() >= maxHeldRequests)
+    if (hasChanges || otherEra || !wait.count() || this->isOverdue(now) || this->heldRequests.size() >= maxHeldRequests)
         return this->sendReply(held);
     this->heldRequests.push_back(held);
     if (this->heldRequests.size() > 1)
@@ -148,9 +149,9 @@
         relayed.changes.revision = reply.revision();
         for (const wire::TableEntry& entry : reply.changes())
             relayed.changes.changes.push_back({ entry.key(), entry.value(), entry.revision(), entry.deleted() });
-        // The age was measured after the request was sent, so counting it back from the time of sending never makes the
-        // confirmation look later than it was.
-        relayed.confirmedAt = pending->sentAt - Milliseconds(reply.confirmed_age_ms());
+        // The relay received the request after it was sent and measured the age after it had held the request, so this
+        // never makes the confirmation look later than it was.
+        relayed.confirmedAt = pending->sentAt + Milliseconds(reply.held_ms()) - Milliseconds(reply.confirmed_age_ms());
         pending->reply = std::move(relayed);
     }
     pending->ended.cancel();
@@ -171,7 +172,7 @@
     request.set_after_revision(after);
     request.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
     if (this->parts.link->send(address, envelope)) {
-        spawn(this->context, [time = this->parts.time, pending, limit = wait + networkMargin] {
+        spawn(this->context, [time = this->parts.time, pending, limit = wait + this->parts.budget.attemptTimeout] {
             return endAfter(time, pending, limit);
         });
         co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
