Let a failed call extend the use of a view only after its last confirmation

What callers could see: an instance that follows a relay had one failed call to the store, was confirmed by another instance, and counted as cut off from then on, so that a later view could be used for 4,700 instead of 3,000 ms. Between 2,550 and 3,995 ms an instance counted as ready although it refused.

Cause: the failure was a flag that only a call to the store resets, and followers don't call it; readiness used the limit of keys.

Change: the time of the failure is kept and compared with the confirmation; readiness uses the limit in force.

Evidence: found by review.

--- a/src/libsession/relay_test.cpp
+++ b/src/libsession/relay_test.cpp
@@ -291,9 +291,29 @@
     EXPECT_TRUE(freshness.isFresh(now + Milliseconds(2999)));
     EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
     // It is not in touch with the store.
-    freshness.recordStoreCall(true);
+    freshness.recordStoreFailure(now + Milliseconds(1));
     EXPECT_TRUE(freshness.isFresh(now + Milliseconds(4699)));
     EXPECT_FALSE(freshness.isFresh(now + Milliseconds(4700)));
-    freshness.recordStoreCall(false);
+    freshness.recordStoreReply();
     EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3000)));
 }
+
+TEST(ViewFreshness, AFailedCallBeforeTheLastConfirmationDoesNotExtendTheUseOfAView)
+{
+    ViewFreshness freshness(Milliseconds(4700), Milliseconds(3000));
+    TimePoint now = Clock::now();
+    freshness.recordStoreFailure(now);
+    // Through another instance; the store itself isn't called again.
+    freshness.confirm(now + Milliseconds(100));
+    EXPECT_TRUE(freshness.isFresh(now + Milliseconds(3000)));
+    EXPECT_FALSE(freshness.isFresh(now + Milliseconds(3100)));
+}
+
+TEST(ViewFreshness, AnInstanceIsNotReadyOnceItIsAboutToRefuse)
+{
+    ViewFreshness freshness(Milliseconds(4700), Milliseconds(3000));
+    TimePoint now = Clock::now();
+    freshness.confirm(now);
+    EXPECT_TRUE(freshness.hasRemaining(now + Milliseconds(2500), 0.15));
+    EXPECT_FALSE(freshness.hasRemaining(now + Milliseconds(2600), 0.15));
+}
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -63,7 +63,7 @@
         writeLog(LogLevel::Warning, "store_lost",
             { { "reason", message }, { "view_age_ms", text(this->viewAge().count()) } });
     this->sources.recordStoreFailure(this->parts.time->now());
-    this->parts.freshness->recordStoreCall(true);
+    this->parts.freshness->recordStoreFailure(this->parts.time->now());
 }
 
 void StoreMirror::recordStoreReply()
@@ -71,7 +71,7 @@
     if (this->sources.storeFails())
         writeLog(LogLevel::Info, "store_regained", { { "failed_calls", text(this->sources.storeFailures()) } });
     this->sources.recordStoreReply();
-    this->parts.freshness->recordStoreCall(false);
+    this->parts.freshness->recordStoreReply();
 }
 
 asio::awaitable<bool> StoreMirror::load()
--- a/src/libsession/view_freshness.h
+++ b/src/libsession/view_freshness.h
@@ -24,8 +24,10 @@
         this->maxViewAge.store(maxViewAge);
         this->maxAgeInTouch.store(std::min(maxViewAge, maxAgeInTouch));
     }
-    /// Records whether the last call of this instance to the store failed.
-    void recordStoreCall(bool failed) { this->storeFails.store(failed); }
+    /// Records that a call of this instance to the store failed at `now`.
+    void recordStoreFailure(TimePoint now) { this->storeFailedAt.store(now); }
+    /// Records that the store has replied to this instance.
+    void recordStoreReply() { this->storeFailedAt.store(TimePoint()); }
 
     /// Records that the view contains every change that the store had acknowledged by `asOf`.
     void confirm(TimePoint asOf)
@@ -36,15 +38,11 @@
     /// Time as of which the view was last confirmed; the clock's epoch if it never was.
     TimePoint confirmed() const { return this->confirmedAt.load(); }
     /// True if the view may be used at `now`.
-    bool isFresh(TimePoint now) const
-    {
-        auto limit = this->storeFails.load() ? this->maxViewAge.load() : this->maxAgeInTouch.load();
-        return now - this->confirmedAt.load() < limit;
-    }
-    /// True if more than `fraction` (0 to 1) of the maximum age remains at `now`.
+    bool isFresh(TimePoint now) const { return now - this->confirmedAt.load() < this->limit(); }
+    /// True if more than `fraction` (0 to 1) of the time for which the view may be used remains at `now`.
     bool hasRemaining(TimePoint now, double fraction) const
     {
-        return now - this->confirmedAt.load() < this->maxViewAge.load() * (1 - fraction);
+        return now - this->confirmedAt.load() < this->limit() * (1 - fraction);
     }
     Milliseconds maxAge() const { return this->maxViewAge.load(); }
     /// Time since the last confirmation.
@@ -54,9 +52,18 @@
     }
 
 private:
+    // A failure counts only if it is later than the confirmation, since this instance can't have confirmed the view
+    // then.
+    Milliseconds limit() const
+    {
+        bool cutOff = this->storeFailedAt.load() > this->confirmedAt.load();
+        return cutOff ? this->maxViewAge.load() : this->maxAgeInTouch.load();
+    }
+
     std::atomic<Milliseconds> maxViewAge { Milliseconds(0) };
     std::atomic<Milliseconds> maxAgeInTouch { Milliseconds(0) };
-    std::atomic<bool> storeFails { false };
+    // Time of the last failed call; the clock's epoch if the store has replied since.
+    std::atomic<TimePoint> storeFailedAt { TimePoint() };
     std::atomic<TimePoint> confirmedAt { TimePoint() };
 };
 
