Confirm an overdue view at once after a suspension, and blame a relay only for its own age

What callers could see: an instance that wakes from a suspension refuses until its next poll ends (540 ms), or up to 1.5 s later, since its timers stand still while it is suspended. A follower whose view is overdue for its own reasons, or because the store is slow, left a relay that works for 3 s; a slow store was then polled by all.

Change: a poll of the store by an overdue instance isn't held; the age is checked at least each attempt; a relay that replies with changes is not skipped, since one that is overdue itself replies that it is unavailable.

Evidence: found by review and by reading; no test was red for it. view_supply_test covers suspensions.

--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -113,7 +113,9 @@
 
 asio::awaitable<bool> StoreMirror::pollStore()
 {
-    auto merge = co_await this->requestFromStore(this->sources.storeFails() ? probeWait : this->parts.budget.storeHold);
+    // A held poll would confirm an overdue view, for example after the process was suspended, only at its end.
+    bool urgent = this->sources.storeFails() || this->isOverdue();
+    auto merge = co_await this->requestFromStore(urgent ? probeWait : this->parts.budget.storeHold);
     if (!merge)
         co_await this->parts.time->sleepFor(this->sources.storeRetryDelay());
     else if (*merge == StoreCopy::Merge::Changed)
@@ -129,14 +131,17 @@
         co_await this->parts.time->sleepFor(readAgainDelay);
         co_return false;
     }
-    // An instance whose own view is overdue has lost its source.
-    if (!merge || merge == StoreCopy::Merge::Ignored || this->isOverdue()) {
+    // An instance whose own view is overdue doesn't reply with changes.
+    bool failed = !merge || merge == StoreCopy::Merge::Ignored;
+    if (failed) {
         this->sources.recordPeerFailure(address, this->parts.time->now());
         writeLog(LogLevel::Info, "relay_lost",
             { { "relay", address }, { "replied", merge ? "yes" : "no" },
                 { "view_age_ms", text(this->viewAge().count()) } });
+    }
+    if (failed || this->isOverdue())
         co_await this->parts.time->sleepFor(peerRetryDelay);
-    } else if (merge == StoreCopy::Merge::Changed)
+    else if (merge == StoreCopy::Merge::Changed)
         co_await this->awaitBatch();
     co_return true;
 }
@@ -156,8 +161,9 @@
             this->requestFromFurtherSources(attempt++);
         else
             attempt = 0;
-        Milliseconds wait = due || !this->loaded ? budget.attemptTimeout : left + Milliseconds(1);
-        co_await this->parts.time->sleepFor(wait);
+        bool soon = !due && this->loaded && left < budget.attemptTimeout;
+        // Timers stand still while the machine is suspended, so the age is checked at least this often.
+        co_await this->parts.time->sleepFor(soon ? left + Milliseconds(1) : budget.attemptTimeout);
     }
 }
 
