Use a new connection to the store from the second attempt of an overdue view on

What callers could see: an instance whose connections to the store had fallen silent together made its further attempts on the next of them, as an attempt ends only after 901 ms and the idle connections were closed only then; three attempts could be lost.

Change: from the second attempt on, an overdue view's call to the store uses a new connection (PolledStore::closeIdleConnections).

Evidence: found by review; ViewSupply.AFollowerWithSilentConnectionsHasEachChangeInTimeWhenAllRelaysAreSuspended. Format of store_restore_test.cpp corrected.

--- a/src/include/catkinlock/metadata_store.h
+++ b/src/include/catkinlock/metadata_store.h
@@ -91,6 +91,8 @@
     virtual boost::asio::awaitable<PlatformResult<KeyChanges>> changesAfter(
         std::string prefix, std::int64_t revision, Milliseconds wait)
         = 0;
+    /// Lets the next calls use new connections.
+    virtual void closeIdleConnections() = 0;
 };
 
 } // namespace catkinlock
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -91,7 +91,7 @@
     }
     if (error) {
         // What silenced this connection may have silenced the idle ones too.
-        this->idle.clear();
+        this->closeIdleConnections();
         co_return tl::unexpected(maybeExecutedError("the platform's service did not respond: " + error.message()));
     }
     auto message = parser.release();
--- a/src/libplatform/http_client.h
+++ b/src/libplatform/http_client.h
@@ -49,6 +49,8 @@
     /// sending the request and reading the response.
     boost::asio::awaitable<PlatformResult<HttpResponse>> call(HttpRequest, Milliseconds timeout);
 
+    /// Lets the next calls use new connections.
+    void closeIdleConnections() { this->idle.clear(); }
     /// Number of calls so far, including failed ones.
     std::uint64_t calls() const { return this->callCount; }
 
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -179,6 +179,9 @@
             { { "view_age_ms", text(this->viewAge().count()) },
                 { "polls", this->polledPeer.empty() ? "store" : this->polledPeer }, { "asks", peer },
                 { "asks_store", asksStore ? "yes" : "no" } });
+    // The connection of an earlier attempt may have fallen silent, and with it the idle ones.
+    if (asksStore && attempt)
+        this->parts.store->closeIdleConnections();
     if (asksStore)
         spawn(this->context,
             [self = this->shared_from_this()] { return self->readAgainIfNeeded(self->requestFromStore(probeWait)); });
--- a/src/libsession/store_restore_test.cpp
+++ b/src/libsession/store_restore_test.cpp
@@ -31,8 +31,7 @@
         , link(std::make_shared<PeerLink>(context, secret))
         , store(std::make_shared<platform::KvStore>(context, storeAddress))
         , freshness(std::make_shared<ViewFreshness>(Milliseconds(4700)))
-        , relay(std::make_shared<ViewRelay>(
-              context, ViewRelay::Parts { this->link, this->time, budget }))
+        , relay(std::make_shared<ViewRelay>(context, ViewRelay::Parts { this->link, this->time, budget }))
     {
         this->plan.pollsStore = follows.empty();
         if (!follows.empty())
--- a/src/libsession/supply_store_client.cpp
+++ b/src/libsession/supply_store_client.cpp
@@ -34,7 +34,7 @@
     co_await call->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     this->fleet.traceCall(*call, request);
     if (!*call->outcome)
-        this->fleet.closeIdleConnections(this->number);
+        this->closeIdleConnections();
     co_return *call->outcome;
 }
 
@@ -51,6 +51,8 @@
     co_return answer.map([](const SupplyAnswer& found) { return found.changes; });
 }
 
+void SupplyStoreClient::closeIdleConnections() { this->fleet.closeIdleConnections(this->number); }
+
 asio::awaitable<PlatformResult<std::optional<KeyValue>>> SupplyStoreClient::read(std::string)
 {
     co_return tl::unexpected(failed("not simulated"));
--- a/src/libsession/supply_store_client.h
+++ b/src/libsession/supply_store_client.h
@@ -16,6 +16,7 @@
     boost::asio::awaitable<PlatformResult<KeyRange>> readPrefix(std::string prefix) override;
     boost::asio::awaitable<PlatformResult<KeyChanges>> changesAfter(
         std::string prefix, std::int64_t revision, Milliseconds wait) override;
+    void closeIdleConnections() override;
     boost::asio::awaitable<PlatformResult<std::optional<KeyValue>>> read(std::string key) override;
     boost::asio::awaitable<PlatformResult<SwapResult>> swap(
         std::string key, std::int64_t expected, std::optional<std::string> value, std::int64_t lease) override;
--- a/src/libsession/view_supply_test.cpp
+++ b/src/libsession/view_supply_test.cpp
@@ -226,6 +226,23 @@
     expectInTime(steadilyWritten({ silence }), smallSite);
 }
 
+// Guards against further calls on connections that fell silent together, while the relays don't reply.
+TEST(ViewSupply, AFollowerWithSilentConnectionsHasEachChangeInTimeWhenAllRelaysAreSuspended)
+{
+    SupplyDisruption silence = ofRelays(Kind::StaleConnections, Scope::AllButOneFollower, 3);
+    silence.lasts = Milliseconds(1);
+    SupplyPlan plan = steadilyWritten({ silence, ofRelays(Kind::Suspend, Scope::AllRelays) });
+    for (plan.seed = 1; plan.seed <= delaySeeds; ++plan.seed) {
+        SupplyRun run = simulateSupply(plan);
+        for (int instance = 0; instance < plan.instances; ++instance) {
+            if (run.relays[static_cast<std::size_t>(instance)])
+                continue;
+            SupplyDelay delay = run.longestDelayOf(instance, Milliseconds(5000), Milliseconds(13'000));
+            ASSERT_LE(delay.length, smallSite.configApply) << plan << delay << "\n" << eventsOf(plan, instance);
+        }
+    }
+}
+
 // The store may reject an instance that has all its links, so the instance itself is judged here.
 TEST(ViewSupply, ARelayThatLosesTheStoreAloneHasEachChangeInTime)
 {
