Use only views that list this instance, and wait for those whose registration ended

Cause: two validities of one state. An instance used its view as long as it was confirmed, by a relay as well; a leader waited for the views of registered instances only. A registration that ended while a relay went on confirming the view left an instance that nobody waited for. The same held for an instance that wasn't registered yet, and for a leader that had just started, or whose own view was older than its change.

Change: a confirmation extends the use of a view only if the view lists this instance (ViewFreshness). A leader (ViewUsers, taken out of Promoter) waits for listed instances, and for one whose registration ended until its last view has; likewise after its own start, a suspension as long as a lease and a restore of the store, for those that it can't know. Its own view has to have the change. An instance that leaves marks its entry instead of deleting it, so that nobody waits for it; the lease deletes it. An instance whose entry is missing writes it again at once.

--- a/src/libsession/fleet_view.cpp
+++ b/src/libsession/fleet_view.cpp
@@ -4,6 +4,12 @@
 
 namespace catkinlock {
 
+bool FleetView::lists(const std::string& name, const std::string& peerAddress) const
+{
+    auto found = this->instances.find(name);
+    return found != this->instances.end() && found->second.peerAddress == peerAddress;
+}
+
 std::vector<std::string> FleetView::instanceNames() const
 {
     std::vector<std::string> names;
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,11 @@
     std::map<std::string, GroupRecord> groups;
     /// All registered instances, by name.
     std::map<std::string, RegisteredInstance> instances;
+    /// Names of instances that have left: they have ended their sessions and use no view.
+    std::set<std::string> leftInstances;
 
+    /// True if an instance of this name is registered with this address.
+    bool lists(const std::string& name, const std::string& peerAddress) const;
     /// Names of all registered instances.
     std::vector<std::string> instanceNames() const;
     /// Members of a service, sorted by id; empty if the service is unknown.
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -93,6 +93,8 @@
     void start();
     void applyStoreChange();
     void publishView();
+    void followOwnEntry(const FleetView&);
+    void requestOwnEntry();
     const RelayPlan& relayPlan();
     void queryPositions();
     void learnConfiguration(const KeyValue&);
@@ -143,6 +145,10 @@
     std::uint64_t planSerial = 0;
     // Revision of the configuration in force; 0 before the first one.
     std::int64_t activeTablesRevision = 0;
+    // Revision of the own entry that was last requested from the store, because the view did not have it.
+    std::int64_t requestedEntryRevision = 0;
+    // Address at which peers send messages to this instance.
+    std::string peerAddress;
     // Number of statements at the last request maintenance.
     std::uint64_t lastStatementCount = 0;
     TimePoint trafficReportedAt = Clock::now();
@@ -195,8 +201,8 @@
 
 bool FrontInstance::Parts::open()
 {
-    std::string peerAddress = this->link->bind(this->settings.peerAddress);
-    bool bound = !peerAddress.empty() && this->front->listen(this->settings.callerAddress)
+    this->peerAddress = this->link->bind(this->settings.peerAddress);
+    bool bound = !this->peerAddress.empty() && this->front->listen(this->settings.callerAddress)
         && this->readyServer->start(this->settings.readyAddress);
     if (bound && !this->settings.metricsAddress.empty())
         bound = this->metricsServer->start(this->settings.metricsAddress);
@@ -204,15 +210,19 @@
         writeLog(LogLevel::Error, "bind_failed", { { "callers", this->settings.callerAddress } });
         return false;
     }
-    InstanceRecord self { this->settings.name, peerAddress, this->settings.dataCentre, 1, 1, InstanceState::Live, {} };
+    InstanceRecord self { this->settings.name, this->peerAddress, this->settings.dataCentre, 1, 1, InstanceState::Live,
+        {} };
     this->membership = std::make_shared<Membership>(self);
     this->admission
         = std::make_shared<Admission>(this->control, this->requests.get_executor(), this->link, this->membership);
     this->sessions->admission = this->admission;
     this->registration = std::make_shared<Registration>(this->control, this->platform.store, this->settings.name,
-        RegisteredInstance { peerAddress, this->settings.dataCentre }, this->settings.leaseSeconds);
+        RegisteredInstance { this->peerAddress, this->settings.dataCentre }, this->settings.leaseSeconds,
+        [this] { this->requestOwnEntry(); });
+    this->freshness->setListed(false);
     this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform.store,
-        SlotKeeper::Options { this->settings.slots, this->settings.leaseSeconds, this->settings.name, peerAddress },
+        SlotKeeper::Options {
+            this->settings.slots, this->settings.leaseSeconds, this->settings.name, this->peerAddress },
         SlotKeeper::Hooks { [this](const auto& held, TimePoint until) {
                                this->admission->updateSlots(held, until, this->settings.slots);
                                this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
@@ -229,10 +239,11 @@
             } });
     this->promoter = std::make_shared<Promoter>(this->control,
         Promoter::Parts { this->platform.store, this->platform.promotions, this->platform.targetProtocol, this->mirror,
-            this->view, this->link, this->freshness->maxAge(), this->settings.name });
+            this->view, this->link, this->freshness->maxAge(), std::chrono::seconds(this->settings.leaseSeconds),
+            this->settings.name });
     this->admission->updateSlots({}, Clock::now(), this->settings.slots);
     writeLog(LogLevel::Info, "started",
-        { { "callers", this->settings.callerAddress }, { "peer", peerAddress },
+        { { "callers", this->settings.callerAddress }, { "peer", this->peerAddress },
             { "data_centre", this->settings.dataCentre } });
     return true;
 }
@@ -279,6 +290,8 @@
     for (const std::string& fault : this->builder.takeFaults())
         writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
     auto tables = next.tables;
+    this->followOwnEntry(next);
+    this->promoter->recordView(next, this->freshness->confirmed(), Clock::now());
     this->view->replace(std::move(next));
     if (tables->revision != this->activeTablesRevision) {
         this->activeTablesRevision = tables->revision;
@@ -295,6 +308,32 @@
     }
 }
 
+// A view without this instance's entry is not used: a leader that changes a primary need not wait for this instance.
+void FrontInstance::Parts::followOwnEntry(const FleetView& next)
+{
+    bool listed = next.lists(this->settings.name, this->peerAddress);
+    if (listed != this->freshness->isListed())
+        writeLog(LogLevel::Info, listed ? "own_entry_in_view" : "own_entry_missing",
+            { { "revision", fmt::format("{}", next.revision) } });
+    this->freshness->setListed(listed);
+    if (listed)
+        return;
+    this->registration->recordMissing(next.revision);
+    this->requestOwnEntry();
+}
+
+// Requests the entry from the store once it has been written, because changes may reach this instance much later
+// through a relay.
+void FrontInstance::Parts::requestOwnEntry()
+{
+    std::int64_t revision = this->registration->entryRevision();
+    bool requested = revision == this->requestedEntryRevision;
+    if (this->freshness->isListed() || requested || this->mirror->revision() >= revision || !this->mirror->isLoaded())
+        return;
+    this->requestedEntryRevision = revision;
+    this->mirror->requestChangesNow();
+}
+
 void FrontInstance::Parts::learnConfiguration(const KeyValue& document)
 {
     if (this->mirror->isLoaded() && this->builder.learn(document))
@@ -573,7 +612,9 @@
                 this->front->endTransactions();
         });
     }
-    co_await this->registration->unregister();
+    // An instance that cuts sessions may still have statements under way, so that others have to wait for it.
+    if (!this->sessions->sessions.load())
+        co_await this->registration->unregister();
     this->lifecycle.drained();
     writeLog(LogLevel::Info, "stopped", { { "sessions_cut", fmt::format("{}", this->sessions->sessions.load()) } });
     this->control.stop();
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -100,6 +100,7 @@
           LeaderLease::Parts { this->parts.store, std::make_shared<SystemTime>(context), this->parts.instance },
           LeaderLease::Hooks { logLeaseObtained, logLeaseReleased }))
     , members(std::make_shared<MemberCommands>(context, this->parts.targets))
+    , viewUsers(this->parts.maxViewAge + viewAgeMargin, this->parts.registrationTime)
 {
 }
 
@@ -249,8 +250,12 @@
 
 void Promoter::receiveViewNote(const std::string& sender, const wire::ViewNote& note)
 {
-    std::int64_t& viewRevision = this->viewRevisions[sender];
-    viewRevision = std::max(viewRevision, note.revision());
+    this->viewUsers.recordRevision(sender, note.revision());
+}
+
+void Promoter::recordView(const FleetView& view, TimePoint confirmedAt, TimePoint now)
+{
+    this->viewUsers.recordView(view, confirmedAt, now);
 }
 
 // Number of instances that come before this one in the order in which instances replace the primary of a service. The
@@ -510,23 +515,19 @@
     co_return 0;
 }
 
-// Waits until every instance has seen `revision`, written at `writtenAt`, or can no longer use an older view.
+// Waits until no instance uses a view from before `revision`, which was written at `writtenAt`.
 asio::awaitable<void> Promoter::awaitViews(std::int64_t revision, TimePoint writtenAt)
 {
     TimePoint allViewsExpired = writtenAt + this->parts.maxViewAge + viewAgeMargin;
     while (Clock::now() < allViewsExpired) {
-        auto view = this->parts.view->read();
-        bool all = true;
-        for (const auto& [name, instance] : view->instances) {
-            if (name == this->parts.instance || this->viewRevisions[instance.peerAddress] >= revision)
-                continue;
-            all = false;
+        TimePoint now = Clock::now();
+        if (this->viewUsers.allHave(revision, this->parts.instance, now))
+            co_return;
+        for (const std::string& address : this->viewUsers.behind(revision, this->parts.instance, now)) {
             wire::Envelope envelope;
             envelope.mutable_view_query()->set_revision(revision);
-            this->parts.link->send(instance.peerAddress, envelope);
+            this->parts.link->send(address, envelope);
         }
-        if (all)
-            co_return;
         co_await this->leaderLease->renewIfNeeded();
         co_await this->sleepFor(stepInterval);
     }
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -10,6 +10,7 @@
 #include "libsession/recent_members.h"
 #include "libsession/role_watch.h"
 #include "libsession/target_groups.h"
+#include "libsession/view_users.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -45,6 +46,8 @@
         /// Time after its last confirmation for which an instance may use its view. Taken to be the same on all
         /// instances. A reload of the settings does not change it here.
         Milliseconds maxViewAge;
+        /// Time for which the registration of an instance lasts at least.
+        Milliseconds registrationTime;
         /// Name of this instance.
         std::string instance;
     };
@@ -66,6 +69,8 @@
     void receivePrimaryNote(const std::string& sender, const wire::PrimaryNote&);
     /// Records the store revision up to which a peer's view is complete.
     void receiveViewNote(const std::string& sender, const wire::ViewNote&);
+    /// Records that this instance uses this view from `now` on; its view was confirmed as of `confirmedAt` before.
+    void recordView(const FleetView&, TimePoint confirmedAt, TimePoint now);
 
     /// Number of primaries that this instance has replaced.
     std::uint64_t promotions() const { return this->promotionCount; }
@@ -164,8 +169,7 @@
     // What the holder of the leader lease `contactLease` has replied to this instance's queries.
     HolderContact contact;
     std::int64_t contactLease = 0;
-    // Store revisions reported by peers, by the peer's address.
-    std::map<std::string, std::int64_t> viewRevisions;
+    ViewUsers viewUsers;
     std::uint64_t promotionCount = 0;
     // Set once this instance leaves: no replacement starts after this time.
     std::optional<TimePoint> lastStart;
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -191,6 +191,14 @@
         });
 }
 
+void StoreMirror::requestChangesNow()
+{
+    if (!this->loaded)
+        return;
+    spawn(this->context,
+        [self = this->shared_from_this()] { return self->readAgainIfNeeded(self->requestFromStore(probeWait)); });
+}
+
 asio::awaitable<void> StoreMirror::readAgainIfNeeded(asio::awaitable<std::optional<StoreCopy::Merge>> request)
 {
     auto self = this->shared_from_this();
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -46,6 +46,9 @@
     void start();
     /// Replaces the time limits.
     void updateBudget(const ViewBudget& budget) { this->parts.budget = budget; }
+    /// Requests the latest changes from the store at once, beside the ordinary poll. Does nothing before the first
+    /// read.
+    void requestChangesNow();
     /// Starts no further poll; a running one is completed.
     void stop() { this->stopped = true; }
     const std::map<std::string, KeyValue>& values() const { return this->copy.values(); }
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -40,6 +40,16 @@
         return parseAddress(instance.peerAddress).port() ? std::optional(instance) : std::nullopt;
     }
 
+    // True for the entry of an instance that has left.
+    bool isLeft(const std::string& text)
+    {
+        json::error_code error;
+        json::value value = json::parse(text, error);
+        const json::object* object = error ? nullptr : value.if_object();
+        const json::value* left = object ? object->if_contains("left") : nullptr;
+        return left && left->is_bool() && left->get_bool();
+    }
+
     // True if `first` was written after `second`. The terms of a group's primaries only grow, and within a term a
     // record is written as Serving first, then as Replacing.
     bool isNewer(const GroupRecord& first, const GroupRecord& second)
@@ -174,6 +184,10 @@
 void ViewBuilder::readInstances(const std::map<std::string, KeyValue>& values, FleetView& view)
 {
     forEachUnder(values, instancePrefix, [&](const std::string& name, const KeyValue& entry) {
+        if (isLeft(entry.value)) {
+            view.leftInstances.insert(name);
+            return;
+        }
         auto instance = parseInstance(entry.value);
         if (!instance) {
             this->addFault(entry, fmt::format("entry of instance {} can't be read", name));
