Request a token from another holder while a reply is late

Cause: a request for a token waits for one holder at a time, for 60 ms, and a booking may wait 50 ms in all, so that one holder without a reply refuses it. All instances asked the first holder in rank first, and again after each loss.

Change: after 10 ms without a reply another holder is asked as well; the first holder to ask differs between instances and advances after a lost request.

--- a/src/include/catkinlock/token_requester.h
+++ b/src/include/catkinlock/token_requester.h
@@ -64,8 +64,10 @@
     std::map<std::string, PendingRequest> pending;
     // Earliest time of the next request to a holder that granted nothing or did not reply.
     std::map<std::string, TimePoint> retryAt;
-    // Index among the holders of the one that is asked first. It advances after a grant of less than one token.
+    // Index among the holders, modulo their number, of the one that is asked first. It differs between instances, so
+    // that they do not all ask one holder, and advances after a grant of less than one token and after a lost request.
     std::size_t firstHolder = 0;
+    bool hasAsked = false;
     TokenReplyCounts counts;
 };
 
--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/share_bucket.h"
 #include <algorithm>
+#include <utility>
 
 namespace catkinlock {
 
@@ -9,6 +10,8 @@
 
     // A token request without a reply after this time counts as lost.
     constexpr Milliseconds replyTimeout { 60 };
+    // If there is no reply after this time, the tokens are requested from another holder as well.
+    constexpr Milliseconds slowReplyDelay { 10 };
     // Delay before the next request to a holder that granted less than one token.
     constexpr Milliseconds emptyGrantRetryDelay { 100 };
     // Delay before the next request to a holder that did not reply in time.
@@ -32,6 +35,7 @@
         if (timedOut) {
             this->retryAt[item.first] = item.second.sentAt + replyTimeout + unresponsiveRetryDelay;
             ++this->counts.lost;
+            ++this->firstHolder;
         }
         return timedOut;
     });
@@ -55,11 +59,15 @@
 {
     this->dropLost(now);
     // If the same tokens were requested from two holders, both would grant them and half would expire unspent.
-    for (const auto& [holder, request] : this->pending)
-        missing -= request.milliTokens;
+    for (const auto& [holder, request] : this->pending) {
+        if (now - request.sentAt < slowReplyDelay)
+            missing -= request.milliTokens;
+    }
     if (missing <= 0)
         return std::nullopt;
     std::int64_t wanted = wholeTokens(missing, prefetch);
+    if (!std::exchange(this->hasAsked, true))
+        this->firstHolder = id;
     for (std::size_t i = 0; i < holders.size(); ++i) {
         const std::string& holder = holders[(this->firstHolder + i) % holders.size()];
         if (!this->mayAsk(holder, now))
--- a/src/libcore/token_requester_test.cpp
+++ b/src/libcore/token_requester_test.cpp
@@ -33,6 +33,9 @@
     std::uint32_t burst;
     double requestsPerSecond;
     std::size_t instances = largeFleet;
+    // Holders, from the first on, that don't reply.
+    std::size_t silentHolders = 0;
+    int waitMs = maxWaitMs;
 };
 
 struct Outcome {
@@ -135,6 +138,8 @@
             this->messages.pop_front();
             Instance& instance = this->instances[message.to];
             instance.level = instance.bucket.advance(this->at(now), instance.level);
+            if (!message.isReply && message.to < this->load.silentHolders)
+                continue;
             if (!message.isReply) {
                 auto reserved = static_cast<std::int64_t>(instance.waiting.size()) * milliPerToken;
                 TokenGrant grant = instance.bucket.grant(this->at(now), message.milliTokens, reserved, instance.level);
@@ -163,7 +168,7 @@
         instance.level = instance.bucket.advance(this->at(now), instance.level);
         while (!instance.waiting.empty() && instance.take())
             instance.waiting.pop_front();
-        while (!instance.waiting.empty() && now - instance.waiting.front() >= maxWaitMs) {
+        while (!instance.waiting.empty() && now - instance.waiting.front() >= this->load.waitMs) {
             instance.waiting.pop_front();
             ++this->outcome.refused;
         }
@@ -199,7 +204,7 @@
         }
         for (; !waiting.empty() && level >= 1; level -= 1)
             waiting.pop_front();
-        for (; !waiting.empty() && now - waiting.front() >= maxWaitMs; ++outcome.refused)
+        for (; !waiting.empty() && now - waiting.front() >= load.waitMs; ++outcome.refused)
             waiting.pop_front();
     }
     return outcome;
@@ -229,6 +234,16 @@
         EXPECT_GE(servedShare({ rate, rate, rate * 0.625 }), minServedShare) << "rate " << rate;
 }
 
+// Guards against a request that waits for one holder only, which is cut off, until its own time is over.
+TEST(TokenRequester, AWorkspaceBelowItsRateIsServedWhileHoldersDoNotReply)
+{
+    constexpr int shortWaitMs = 50;
+    for (std::size_t silent : { 1u, 2u, 4u }) {
+        Load load { 60, 60, 15, largeFleet, silent, shortWaitMs };
+        EXPECT_GE(servedShare(load), minServedShare) << silent << " silent holders";
+    }
+}
+
 // Many instances that each collect parts of a token would leave all of them without a whole one.
 TEST(TokenRequester, ASmallWorkspacePressedBeyondItsRateStillGetsItsRate)
 {
