Claim a slot soon after it became free, and renew a lease no later than its retry

Cause: the rounds in which an instance claims slots back off up to 30 s while it gains none, which instances that want more than there are always do. A slot that became free waited for the next round, and a failed renewal of the lease was retried by the same backoff. Slots given back stayed unused for 2.5 s, for work that only gateways do.

A renewal is retried after 500 ms. A session instance gives a slot back after 150 ms, as the bucket of a new holder allows for outstanding grants by itself.

--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -27,16 +27,8 @@
     constexpr int leaseMarginDivisor = 20;
     // The lease is renewed when its duration divided by this number has passed.
     constexpr int renewDivisor = 3;
-    // Delay between the end of the use of a slot and its release in the store. Work that depends on the slot may still
-    // be in progress for this long, so no other instance may claim the slot earlier.
-    constexpr Milliseconds releaseDelay { 2500 };
-    // Backoff between claim rounds. It doubles up to the maximum while rounds without a limit on the rank gain no
-    // slots.
-    constexpr Milliseconds minClaimBackoff { 500 };
-    constexpr Milliseconds maxClaimBackoff { 30000 };
-    // The number of instances, in rank order, that may claim a slot doubles with each round, this many times. After
-    // that, all instances may claim it.
-    constexpr unsigned maxRankDoublings = 10;
+    // Delay after a failed renewal of the lease.
+    constexpr Milliseconds renewRetryDelay { 500 };
 
     // True if a slot's value names this instance and its peer address. While this process listens on that address, only
     // an earlier run of the instance can have written the value.
@@ -67,6 +59,7 @@
     , hooks(std::move(hooks))
     , validUntil(Clock::now())
     , renewAt(Clock::now())
+    , claims(Clock::now() + initialClaimDelay)
 {
 }
 
@@ -120,26 +113,22 @@
 {
     auto self = this->shared_from_this();
     asio::steady_timer timer(this->context);
-    Milliseconds claimBackoff = minClaimBackoff;
-    TimePoint claimAt = Clock::now() + initialClaimDelay;
     bool takeoverDone = false;
     while (!this->leaving) {
         this->dropIfExpired();
         bool leaseIsOver = this->leaseId && StoreRevision::fromSequence(this->leaseId).era < this->storeEra;
         if (leaseIsOver && Clock::now() >= this->renewAt && !co_await this->reclaim())
-            this->renewAt = Clock::now() + minClaimBackoff;
+            this->renewAt = Clock::now() + renewRetryDelay;
         else if (!leaseIsOver && this->leaseId && Clock::now() >= this->renewAt && !co_await this->renew())
-            this->renewAt = Clock::now() + claimBackoff;
+            this->renewAt = Clock::now() + renewRetryDelay;
         if (!takeoverDone)
             takeoverDone = co_await this->takeOverEarlierSlotsAtStart();
+        this->followFreeSlots();
         bool missing = takeoverDone && this->slots.size() < this->fairShare();
-        if (missing && Clock::now() >= claimAt) {
+        if (missing && this->claims.isDue(Clock::now())) {
             std::size_t before = this->slots.size();
             co_await this->claimMissing();
-            bool gained = this->slots.size() > before;
-            bool isRankLimited = this->claimRounds < maxRankDoublings;
-            claimBackoff = gained || isRankLimited ? minClaimBackoff : std::min(claimBackoff * 2, maxClaimBackoff);
-            claimAt = Clock::now() + claimBackoff;
+            this->claims.recordRound(this->slots.size() > before, Clock::now());
         }
         if (this->slots.size() > this->fairShare())
             co_await this->releaseSurplus();
@@ -148,6 +137,27 @@
     }
 }
 
+std::set<std::uint32_t> SlotKeeper::freeSlots() const
+{
+    std::set<std::uint32_t> free;
+    for (std::uint32_t slot = 0; slot < this->options.slotCount; ++slot) {
+        if (!this->slots.count(slot) && !this->hooks.isTaken(slot))
+            free.insert(slot);
+    }
+    return free;
+}
+
+void SlotKeeper::followFreeSlots()
+{
+    std::set<std::uint32_t> free = this->freeSlots();
+    bool freed = !std::includes(this->lastFreeSlots.begin(), this->lastFreeSlots.end(), free.begin(), free.end());
+    this->lastFreeSlots = std::move(free);
+    if (!freed)
+        return;
+    this->claims.recordFreeSlot(Clock::now());
+    this->slotsRead = false;
+}
+
 // Obtains a lease if there is none. It is called only before slots are claimed, so that instances without slots cause
 // no lease renewals.
 asio::awaitable<bool> SlotKeeper::ensureLease()
@@ -278,12 +288,9 @@
 {
     std::size_t wanted = this->fairShare();
     std::vector<std::string> fleet = this->hooks.fleet();
-    std::size_t maxRank
-        = this->claimRounds < maxRankDoublings ? (std::size_t { 1 } << this->claimRounds) - 1 : fleet.size();
-    ++this->claimRounds;
     std::vector<std::uint32_t> candidates;
-    for (std::uint32_t slot = 0; slot < this->options.slotCount; ++slot) {
-        if (!this->slots.count(slot) && !this->hooks.isTaken(slot) && this->rankFor(slot, fleet) <= maxRank)
+    for (std::uint32_t slot : this->freeSlots()) {
+        if (this->rankFor(slot, fleet) <= this->claims.maxRank())
             candidates.push_back(slot);
     }
     if (candidates.empty())
@@ -371,7 +378,7 @@
         this->slots.erase(slot);
     std::int64_t releaseLeaseId = this->leaseId;
     this->notifyChanged();
-    asio::steady_timer timer(this->context, releaseDelay);
+    asio::steady_timer timer(this->context, this->options.releaseDelay);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     for (std::uint32_t slot : surplus) {
         auto found = co_await this->store->read(this->keyOf(slot));
@@ -388,7 +395,7 @@
     this->leaving = true;
     this->slots.clear();
     this->notifyChanged();
-    asio::steady_timer timer(this->context, std::min<Duration>(deadline - Clock::now(), releaseDelay));
+    asio::steady_timer timer(this->context, std::min<Duration>(deadline - Clock::now(), this->options.releaseDelay));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (this->leaseId)
         co_await this->store->revokeLease(this->leaseId);
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/claim_schedule.h"
 #include "catkinlock/metadata_store.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -39,6 +40,9 @@
         std::string instance;
         /// "ip:port" of this instance for peers.
         std::string peerAddress;
+        /// Time between the end of the use of a slot and its release in the store. Work that depends on the slot may
+        /// still be in progress for this long, so no other instance may claim the slot earlier.
+        Milliseconds releaseDelay { 2500 };
     };
     struct Hooks {
         /// Called when the held slots or the end of the lease may have changed.
@@ -95,6 +99,9 @@
     boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
     // Number of slots divided by the number of instances, rounded up.
     std::size_t fairShare() const;
+    std::set<std::uint32_t> freeSlots() const;
+    // Claims anew, and soon, if a slot has become free.
+    void followFreeSlots();
     std::size_t rankFor(std::uint32_t slot, const std::vector<std::string>& fleet) const;
     std::string keyOf(std::uint32_t slot) const;
     // Drops all slots if the lease is no longer valid.
@@ -127,8 +134,9 @@
     bool leaving = false;
     // True if `takenByOthers` is recent enough to claim slots without reading them again.
     bool slotsRead = false;
-    // Claim rounds so far. With each round, this instance may also claim slots for which it ranks further down.
-    unsigned claimRounds = 0;
+    ClaimSchedule claims;
+    // Slots that nobody was known to hold at the last round of maintenance.
+    std::set<std::uint32_t> lastFreeSlots;
 };
 
 } // namespace catkinlock
--- a/src/libserver/slot_keeper_test.cpp
+++ b/src/libserver/slot_keeper_test.cpp
@@ -60,6 +60,11 @@
         }
         return condition();
     }
+    void runFor(Milliseconds time)
+    {
+        TimePoint end = Clock::now() + time;
+        this->runUntil([end] { return Clock::now() >= end; });
+    }
     void checkOneHolder()
     {
         std::size_t inUse = 0;
@@ -104,6 +109,26 @@
     EXPECT_TRUE(this->runUntil([&] { return second.inUse().size() == 2; }));
 }
 
+// Guards against a renewal that is retried no sooner than the claim of slots that others hold.
+TEST_F(SlotsAfterARestore, AHolderThatWantsMoreSlotsKeepsItsOwnThroughAShortOutage)
+{
+    for (std::uint32_t slot = 1; slot < slotCount; ++slot)
+        this->service->put(std::string(slotPrefix) + std::to_string(slot), "{}");
+    Holder& holder = this->add("a");
+    ASSERT_TRUE(this->runUntil([&] { return holder.inUse().size() == 1; }));
+    this->runFor(std::chrono::seconds(14));
+    this->service->setUnavailable(true);
+    this->runFor(std::chrono::milliseconds(2500));
+    this->service->setUnavailable(false);
+    bool lost = false;
+    TimePoint end = Clock::now() + std::chrono::seconds(leaseSeconds);
+    this->runUntil([&] {
+        lost = lost || holder.inUse().empty();
+        return Clock::now() >= end;
+    });
+    EXPECT_FALSE(lost);
+}
+
 TEST_F(SlotsAfterARestore, AHolderClaimsItsSlotsAgainWithoutAGap)
 {
     this->fleet = { "a" };
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -62,6 +62,8 @@
     constexpr Milliseconds peerLearningTime { 10000 };
     // Between two such requests.
     constexpr Milliseconds peerLearningInterval { 300 };
+    // Only tokens depend on a slot here, and a new holder allows for the grants of the last one.
+    constexpr Milliseconds slotReleaseDelay { 150 };
     // Seed of the hash by which the instances' times are spread.
     constexpr std::uint64_t spreadSeed = 0x737072656164;
 
@@ -221,8 +223,8 @@
         [this] { this->requestOwnEntry(); });
     this->freshness->setListed(false);
     this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform.store,
-        SlotKeeper::Options {
-            this->settings.slots, this->settings.leaseSeconds, this->settings.name, this->peerAddress },
+        SlotKeeper::Options { this->settings.slots, this->settings.leaseSeconds, this->settings.name, this->peerAddress,
+            slotReleaseDelay },
         SlotKeeper::Hooks { [this](const auto& held, TimePoint until) {
                                this->admission->updateSlots(held, until, this->settings.slots);
                                this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
