Ask several instances for an overdue view, and the store once one of them has a fresh one

Callers saw: "this instance can't confirm the key" for up to 1.5 s after a partition of two thirds of the instances had healed, and calls to the store that went on failing by their own back-off for up to 3.4 s.

Cause: an overdue instance asks one other instance at a time, each 0.4 s, and most of those are cut off like itself. A view from one of them did not end the back-off of the calls to the store.

Change: from the third attempt of an overdue period on three instances are asked. A confirmation from another instance after an overdue period retries the store at once, on a new connection.

The schedules of the supply of views hold (15 tests).

--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -26,6 +26,10 @@
     // Attempts of one overdue period that call the store although calls to it fail; further ones leave it to the
     // ordinary poll, so that an outage does not double the calls.
     constexpr unsigned maxFailingAttempts = 3;
+    // Attempts of one overdue period that ask one instance each. Further ones ask several, because most instances may
+    // be cut off together, and few have a view that is not overdue.
+    constexpr unsigned singleAttempts = 2;
+    constexpr unsigned requestsPerFurtherAttempt = 3;
 
     std::string text(std::int64_t number) { return fmt::format("{}", number); }
 
@@ -171,13 +175,12 @@
 void StoreMirror::requestFromFurtherSources(unsigned attempt)
 {
     TimePoint now = this->parts.time->now();
-    std::string peer = this->sources.nextForOverdue(this->hooks.plan(), this->polledPeer, attempt, now);
     bool asksStore = (attempt < maxFailingAttempts || !this->sources.storeFails())
         && now - this->storeCalledAt >= this->parts.budget.attemptTimeout;
     if (!attempt)
         writeLog(LogLevel::Info, "view_overdue",
             { { "view_age_ms", text(this->viewAge().count()) },
-                { "polls", this->polledPeer.empty() ? "store" : this->polledPeer }, { "asks", peer },
+                { "polls", this->polledPeer.empty() ? "store" : this->polledPeer },
                 { "asks_store", asksStore ? "yes" : "no" } });
     // The connection of an earlier attempt may have fallen silent, and with it the idle ones.
     if (asksStore && attempt)
@@ -185,10 +188,33 @@
     if (asksStore)
         spawn(this->context,
             [self = this->shared_from_this()] { return self->readAgainIfNeeded(self->requestFromStore(probeWait)); });
-    if (!peer.empty())
+    this->requestFromPeers(attempt);
+}
+
+void StoreMirror::requestFromPeers(unsigned attempt)
+{
+    if (!attempt)
+        this->overdueRequests = 0;
+    unsigned count = attempt < singleAttempts ? 1 : requestsPerFurtherAttempt;
+    for (unsigned request = 0; request < count; ++request) {
+        std::string peer = this->sources.nextForOverdue(
+            this->hooks.plan(), this->polledPeer, this->overdueRequests++, this->parts.time->now());
+        if (peer.empty())
+            return;
         spawn(this->context, [self = this->shared_from_this(), peer] {
             return self->readAgainIfNeeded(self->requestFromPeer(peer, Milliseconds(0)));
         });
+    }
+}
+
+// Calls the store although calls to it have failed: an instance with a view that isn't overdue has been reached again,
+// so that the store may be.
+void StoreMirror::retryStore()
+{
+    if (this->parts.time->now() - this->storeCalledAt < this->parts.budget.attemptTimeout)
+        return;
+    this->parts.store->closeIdleConnections();
+    this->requestChangesNow();
 }
 
 void StoreMirror::requestChangesNow()
@@ -232,7 +258,11 @@
         co_return std::nullopt;
     if (load != this->loads)
         co_return StoreCopy::Merge::Ignored;
-    co_return this->applyChanges(response->changes, response->confirmedAt);
+    bool wasOverdue = this->isOverdue();
+    auto merge = this->applyChanges(response->changes, response->confirmedAt);
+    if (wasOverdue && !this->isOverdue() && this->sources.storeFails())
+        this->retryStore();
+    co_return merge;
 }
 
 StoreCopy::Merge StoreMirror::applyChanges(const KeyChanges& response, TimePoint confirmedAt)
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -68,6 +68,8 @@
     boost::asio::awaitable<bool> pollPeer(std::string address);
     boost::asio::awaitable<void> confirmOverdue();
     void requestFromFurtherSources(unsigned attempt);
+    void requestFromPeers(unsigned attempt);
+    void retryStore();
     boost::asio::awaitable<std::optional<StoreCopy::Merge>> requestFromStore(Milliseconds wait);
     boost::asio::awaitable<std::optional<StoreCopy::Merge>> requestFromPeer(std::string address, Milliseconds wait);
     boost::asio::awaitable<void> readAgainIfNeeded(boost::asio::awaitable<std::optional<StoreCopy::Merge>>);
@@ -82,6 +84,8 @@
     Parts parts;
     Hooks hooks;
     ViewSources sources;
+    // Requests to other instances in the present overdue period.
+    unsigned overdueRequests = 0;
     // Start of the last call to the store.
     TimePoint storeCalledAt;
     // The instance that the ordinary poll waits for; empty if it is the store.
