Break ties between equal members differently at each instance

Cause: each of hundreds of instances sends a member a statement every few seconds, so that the expected times of equal replicas stay equal, and all instances chose the first one by id.

Change: among members of equal expected time a hash of the member, the workspace and a number of this instance decides. A workspace's reads stay at one of them, so that its connections are used again.

Load: hundreds of instances with few statements each. Evidence: placement_test with 300 instances (300 and 0 of 300 before, each above 100 now).

--- a/src/libsession/member_choice.cpp
+++ b/src/libsession/member_choice.cpp
@@ -1,5 +1,7 @@
 #include "libsession/member_choice.h"
 
+#include <utility>
+
 namespace catkinlock {
 
 namespace {
@@ -36,13 +38,22 @@
     return time;
 }
 
+namespace {
+
+    bool isPreferred(const MemberLoad& left, const MemberLoad& right)
+    {
+        return std::pair(expectedTime(left), left.tieBreak) < std::pair(expectedTime(right), right.tieBreak);
+    }
+
+} // namespace
+
 std::optional<std::size_t> chooseMember(const std::vector<MemberLoad>& loads)
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < loads.size(); ++i) {
         if (loads[i].wasTried)
             continue;
-        if (!best || expectedTime(loads[i]) < expectedTime(loads[*best]))
+        if (!best || isPreferred(loads[i], loads[*best]))
             best = i;
     }
     return best;
--- a/src/libsession/member_choice.h
+++ b/src/libsession/member_choice.h
@@ -2,6 +2,7 @@
 
 #include "catkinlock/clock.h"
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -33,12 +34,16 @@
     bool seemsBehind = false;
     /// The statement was already tried on this member.
     bool wasTried = false;
+    /// Decides between members of the same expected time; the least one is chosen. Differs from instance to instance:
+    /// each knows only its own few statements, so that many would choose the same member.
+    std::uint64_t tieBreak = 0;
 };
 
 /// Estimated time until the member replies, with penalties for members to be avoided. For comparison only.
 Milliseconds expectedTime(const MemberLoad&);
 
-/// Index of the member with the least expected time; std::nullopt if the list is empty or every member was tried.
+/// Index of the member with the least expected time, and among equal ones with the least `tieBreak`; std::nullopt if
+/// the list is empty or every member was tried.
 std::optional<std::size_t> chooseMember(const std::vector<MemberLoad>&);
 
 } // namespace catkinlock
--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -1,8 +1,10 @@
 #include "catkinlock/line_budget.h"
+#include "catkinlock/rendezvous.h"
 #include "libsession/member_choice.h"
 #include "libsession/operation_token.h"
 #include "libsession/position_window.h"
 #include "libsession/target_pool.h"
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -126,6 +128,21 @@
     EXPECT_EQ(chooseMember({ busy, free, closed }), 1u);
 }
 
+// Guards against hundreds of instances that all send their reads to one of two equal replicas.
+TEST(MemberChoice, ManyInstancesChooseEqualMembersEvenly)
+{
+    constexpr int instances = 300;
+    std::array<int, 2> chosen {};
+    for (int instance = 0; instance < instances; ++instance) {
+        std::vector<MemberLoad> loads(2);
+        for (std::size_t member = 0; member < loads.size(); ++member)
+            loads[member].tieBreak = stableHash("i-" + std::to_string(member), static_cast<std::uint64_t>(instance));
+        ++chosen[*chooseMember(loads)];
+    }
+    EXPECT_GT(chosen[0], instances / 3);
+    EXPECT_GT(chosen[1], instances / 3);
+}
+
 // A lagging replica refuses each read that needs a newer position, and each refusal costs a round trip.
 TEST(MemberChoice, LeavesOutAMemberThatJustRefusedForLag)
 {
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -1,6 +1,8 @@
 #include "libsession/target_groups.h"
 
+#include "catkinlock/rendezvous.h"
 #include "libsession/target_link.h"
+#include <random>
 
 namespace catkinlock {
 
@@ -23,6 +25,7 @@
     , protocol(std::move(protocol))
     , freshness(std::move(freshness))
     , dataCentre(std::move(dataCentre))
+    , choiceSeed(std::random_device {}())
 {
 }
 
@@ -86,6 +89,8 @@
     }
     if (requirements.consistency == ReadConsistency::ReadYourWrites)
         minPosition = std::max(*minPosition, requirements.lastCommit);
+    // A workspace's reads stay at one of the equal members, so that its connections are used again.
+    std::uint64_t workspaceSeed = stableHash(requirements.workspace, this->choiceSeed);
     std::vector<std::shared_ptr<TargetPool>> pools;
     std::vector<MemberLoad> loads;
     for (const TargetRecord& target : view.membersOf(requirements.service)) {
@@ -97,6 +102,7 @@
         load.isPrimary = isPrimary;
         load.sameDataCentre = target.dataCentre == this->dataCentre;
         load.wasTried = tried.count(target.id) != 0;
+        load.tieBreak = stableHash(target.id, workspaceSeed);
         load.seemsBehind
             = !isPrimary && (pool->seemsBehind(*minPosition, now) || pool->lagsBeyond(requirements.maxAge, now));
         loads.push_back(load);
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -105,6 +105,8 @@
     std::shared_ptr<const TargetProtocol> protocol;
     std::shared_ptr<ViewFreshness> freshness;
     std::string dataCentre;
+    // Makes the choice between equal members differ from other instances.
+    std::uint64_t choiceSeed;
     // Serial of the view that was applied last.
     std::uint64_t viewSerial = 0;
     std::map<std::string, std::shared_ptr<TargetPool>> poolById;
