Close idle connections after 200 ms where there are more instances than connections

Cause: an instance whose share of a member's connections is below one kept a connection for 2 s after its use, though the next statement of the same workspace and member comes much later.

Change: such idle connections end after 200 ms. Evidence: target_pool_test with 250 ms in place of 2,500 ms, which fails on the code before.

--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -20,6 +20,9 @@
     constexpr Milliseconds idleLifetime { 30000 };
     // Idle connections beyond maxIdle are closed after this time.
     constexpr Milliseconds surplusIdleLifetime { 2000 };
+    // The same if there are more instances than connections, since all of them together must leave the member free
+    // ones.
+    constexpr Milliseconds scarceIdleLifetime { 200 };
     // A busy instance may open this many times its share while the member accepts connections.
     constexpr std::size_t maxShares = 3;
     // The pool stays within its share for this time after the member refused a connection at its limit.
@@ -66,6 +69,7 @@
 {
     this->share = std::max<std::size_t>(connections, 1);
     this->maxIdle = connections / 2;
+    this->surplusLifetime = connections ? surplusIdleLifetime : scarceIdleLifetime;
 }
 
 bool TargetPool::isConnectionLimited() const { return Clock::now() < this->connectionLimitedUntil; }
@@ -335,7 +339,7 @@
 {
     while (!this->idle.empty()) {
         bool surplus = this->idle.size() > this->maxIdle;
-        if (now - this->idle.front().since < (surplus ? surplusIdleLifetime : idleLifetime))
+        if (now - this->idle.front().since < (surplus ? this->surplusLifetime : idleLifetime))
             break;
         this->dropOldestIdle();
     }
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -125,8 +125,9 @@
     TargetRecord record;
     // Connections that this instance may have open even while the member is at its limit.
     std::size_t share = 1;
-    // Idle connections beyond this count are closed early.
+    // Idle connections beyond this count are closed early, after `surplusLifetime`.
     std::size_t maxIdle = 1;
+    Milliseconds surplusLifetime { 0 };
     // Until this time the pool stays within its share, because the member refused a connection at its limit.
     TimePoint connectionLimitedUntil;
     // Connections that are open or being opened.
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -108,7 +108,7 @@
         auto link = co_await pool->borrow("tours", 1, farDeadline());
         EXPECT_TRUE(link);
         pool->release(*link);
-        pool->closeIdle(Clock::now() + Milliseconds(2500));
+        pool->closeIdle(Clock::now() + Milliseconds(250));
         EXPECT_EQ(pool->open(), 0u);
     });
 }
