Open a connection between instances anew after 1.5 s without acknowledgement

Callers saw: token requests without a reply, and refusals for a rate that wasn't used up, for seconds after a partition had healed.

Cause: a connection outlives a partition, and its next retransmission may come seconds after the end. A connection that could not be opened was tried again after up to 2 s.

Change: TCP's limit on unacknowledged data, and shorter limits for opening. No message more.

--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/digest.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
+#include <chrono>
 #include <list>
 #include <unordered_map>
 #include <zmq.hpp>
@@ -25,6 +26,15 @@
     constexpr int maxSendQueueMessages = 4096;
     constexpr int maxReceiveQueueMessages = 16384;
     constexpr std::int64_t maxMessageBytes = 80 << 20;
+    // A connection on which sent data is not acknowledged for this long is closed and opened anew. On a connection that
+    // outlives a partition, the next transmission may come seconds after its end.
+    constexpr std::chrono::milliseconds acknowledgementTimeout { 1500 };
+    constexpr std::chrono::milliseconds connectTimeout { 400 };
+    // Delay before a connection is opened again; it doubles up to the maximum.
+    constexpr std::chrono::milliseconds minReconnectDelay { 100 };
+    constexpr std::chrono::milliseconds maxReconnectDelay { 400 };
+
+    int milliseconds(std::chrono::milliseconds time) { return static_cast<int>(time.count()); }
 
 } // namespace
 
@@ -49,9 +59,10 @@
         zmq::socket_t socket(this->context, zmq::socket_type::push);
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::sndhwm, maxSendQueueMessages);
-        socket.set(zmq::sockopt::reconnect_ivl, 100);
-        socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
-        socket.set(zmq::sockopt::connect_timeout, 1000);
+        socket.set(zmq::sockopt::reconnect_ivl, milliseconds(minReconnectDelay));
+        socket.set(zmq::sockopt::reconnect_ivl_max, milliseconds(maxReconnectDelay));
+        socket.set(zmq::sockopt::connect_timeout, milliseconds(connectTimeout));
+        socket.set(zmq::sockopt::tcp_maxrt, milliseconds(acknowledgementTimeout));
         socket.connect("tcp://" + address);
         return socket;
     }
