Run reads through one instance for each workspace and service where connections are scarce

Cause: connections belong to a workspace, and statements of one workspace and service met at no instance.

Change: where an instance's share of a member's connections is below three, a read outside a transaction goes to the gateway of its workspace and service, an instance chosen by rendezvous hashing, which keeps a few connections for 2 s. It runs the read with its own view, positions and health of the members, by the same code. Writes and transactions stay with the instance of their session, so that no message between instances decides whether a write has run. A gateway that refuses or doesn't reply in three quarters of the objective is left out for a while, and the read is run here; after three in a row all are, for a second.

--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -240,6 +240,8 @@
     case wire::Envelope::kChangesReply:
     case wire::Envelope::kPositionsQuery:
     case wire::Envelope::kPositionsReply:
+    case wire::Envelope::kReadRequest:
+    case wire::Envelope::kReadReply:
     // A message of a kind that this release does not know has no body.
     case wire::Envelope::BODY_NOT_SET:
         return;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -13,6 +13,8 @@
 #include "libsession/page_server.h"
 #include "libsession/position_exchange.h"
 #include "libsession/promoter.h"
+#include "libsession/read_forwarder.h"
+#include "libsession/read_service.h"
 #include "libsession/record_keeper.h"
 #include "libsession/registration.h"
 #include "libsession/relay_choice.h"
@@ -140,6 +142,7 @@
     std::shared_ptr<ServiceLevel> level = std::make_shared<ServiceLevel>();
     std::shared_ptr<SessionContext> sessions = std::make_shared<SessionContext>();
     std::shared_ptr<SessionFront> front;
+    std::shared_ptr<ReadService> readService;
     std::shared_ptr<PageServer> readyServer;
     std::shared_ptr<PageServer> metricsServer;
     // The sources of store changes in the view with this serial number.
@@ -194,6 +197,10 @@
     this->sessions->level = this->level;
     this->sessions->groups = std::make_shared<TargetGroups>(
         executor, this->platform.targetProtocol, this->freshness, this->settings.dataCentre);
+    this->sessions->reads = std::make_shared<ReadForwarder>(
+        ReadForwarder::Parts { this->control.get_executor(), executor, this->link, this->view, this->settings.name });
+    this->readService = std::make_shared<ReadService>(
+        ReadService::Parts { this->control.get_executor(), this->link, this->sessions });
     this->front = std::make_shared<SessionFront>(this->requests, this->sessions);
     this->readyServer = std::make_shared<PageServer>(
         this->control, [this](const std::string& path) { return this->readyPage(path); });
@@ -405,6 +412,10 @@
         return this->positions->receiveQuery(sender, envelope.positions_query());
     case wire::Envelope::kPositionsReply:
         return this->positions->receiveReply(envelope.positions_reply());
+    case wire::Envelope::kReadRequest:
+        return this->readService->receiveRequest(sender, envelope.read_request());
+    case wire::Envelope::kReadReply:
+        return this->sessions->reads->receiveReply(envelope.read_reply());
     case wire::Envelope::kViewQuery: {
         wire::Envelope reply;
         reply.mutable_view_note()->set_revision(this->mirror->revision());
@@ -454,6 +465,9 @@
         { "primaries_replaced_total", "Primaries that this instance replaced", count(this->promoter->promotions()),
             true },
         { "store_calls_total", "Calls to the metadata store", count(this->platform.store->calls()), true },
+        { "reads_forwarded_total", "Reads that a gateway has replied to", count(this->sessions->reads->forwarded()),
+            true },
+        { "gateway_losses_total", "Reads that a gateway did not serve", count(this->sessions->reads->lost()), true },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
     };
     return { 200, renderMetrics(metrics, *this->level) };
--- /dev/null
+++ b/src/libsession/read_forwarder.cpp
@@ -0,0 +1,105 @@
+#include "libsession/read_forwarder.h"
+
+#include "catkinlock/log.h"
+#include "catkinlock/peer_sender.h"
+#include "peer.pb.h"
+#include <algorithm>
+#include <boost/asio.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // A gateway has this part of the latency objective to reply, and at least `minReplyTime`.
+    constexpr double replyTimeFraction = 0.75;
+    constexpr Milliseconds minReplyTime { 150 };
+
+    Duration replyTime(const ForwardedRead& read, TimePoint now, TimePoint deadline)
+    {
+        auto wanted
+            = std::chrono::duration_cast<Milliseconds>(Milliseconds(read.route.latencyObjectiveMs) * replyTimeFraction);
+        return std::min<Duration>(std::max(wanted, minReplyTime), deadline - now);
+    }
+
+} // namespace
+
+struct ReadForwarder::Pending {
+    explicit Pending(const asio::any_io_executor& executor)
+        : ended(executor)
+    {
+    }
+    // Cancelled by the reply.
+    asio::steady_timer ended;
+    bool replied = false;
+    std::optional<ForwardedReply> reply;
+};
+
+ReadForwarder::ReadForwarder(Parts parts)
+    : parts(std::move(parts))
+{
+}
+
+asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> ReadForwarder::forward(
+    ForwardedRead read, TimePoint deadline)
+{
+    auto self = this->shared_from_this();
+    TimePoint now = Clock::now();
+    auto view = this->parts.view->read();
+    std::string gateway = this->gateways.choose(*view, read.workspace, read.route.pool, now);
+    if (gateway == this->parts.instance)
+        co_return tl::unexpected(ForwardFailure::OwnRead);
+    if (gateway.empty() || now >= deadline)
+        co_return tl::unexpected(ForwardFailure::NotRun);
+    std::uint64_t id = ++this->lastId;
+    auto pending = std::make_shared<Pending>(this->parts.requests);
+    this->pendingReads[id] = pending;
+    pending->ended.expires_after(replyTime(read, now, deadline));
+    this->send(view->instances.at(gateway).peerAddress, read, id, deadline);
+    co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    this->pendingReads.erase(id);
+    if (pending->reply) {
+        this->gateways.recordReply(gateway);
+        ++this->forwardedCount;
+        co_return std::move(*pending->reply);
+    }
+    ++this->lostCount;
+    if (pending->replied)
+        this->gateways.recordUnavailable(gateway, Clock::now());
+    else
+        this->gateways.recordLost(gateway, Clock::now());
+    writeLog(LogLevel::Info, "gateway_lost",
+        { { "request", read.statement.id }, { "gateway", gateway }, { "replied", pending->replied ? "yes" : "no" } });
+    co_return tl::unexpected(pending->replied ? ForwardFailure::NotRun : ForwardFailure::ReplyLost);
+}
+
+void ReadForwarder::send(std::string address, const ForwardedRead& read, std::uint64_t id, TimePoint deadline)
+{
+    auto envelope = std::make_shared<wire::Envelope>();
+    wire::ReadRequest& request = *envelope->mutable_read_request();
+    request.set_id(id);
+    writeRead(read, std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()), request);
+    asio::post(this->parts.control,
+        [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
+}
+
+void ReadForwarder::receiveReply(const wire::ReadReply& message)
+{
+    asio::post(
+        this->parts.requests, [self = this->shared_from_this(), id = message.id(), reply = readReadReply(message)] {
+            self->complete(id, reply);
+        });
+}
+
+void ReadForwarder::complete(std::uint64_t id, std::optional<ForwardedReply> reply)
+{
+    auto found = this->pendingReads.find(id);
+    if (found == this->pendingReads.end())
+        return;
+    found->second->replied = true;
+    found->second->reply = std::move(reply);
+    found->second->ended.cancel();
+}
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/read_forwarder.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "catkinlock/clock.h"
+#include "catkinlock/rcu_snapshot.h"
+#include "libsession/fleet_view.h"
+#include "libsession/forwarded_read.h"
+#include "libsession/gateway_choice.h"
+#include <atomic>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace catkinlock {
+
+class PeerSender;
+
+/// Why a read was not run by a gateway.
+enum class ForwardFailure {
+    /// This instance is the gateway.
+    OwnRead,
+    /// The gateway is unknown or avoided, or it refused the read.
+    NotRun,
+    /// The gateway did not reply in time, and may have run the read.
+    ReplyLost,
+};
+
+/// Sends reads outside a transaction to the gateway of their workspace and service, which keeps connections to the
+/// members for them. A read may run at the gateway although no reply arrives; it is then run again here, which a read
+/// allows. Runs on the request thread; the link is used on the control thread.
+class ReadForwarder : public std::enable_shared_from_this<ReadForwarder> {
+public:
+    struct Parts {
+        boost::asio::any_io_executor control;
+        boost::asio::any_io_executor requests;
+        std::shared_ptr<PeerSender> link;
+        std::shared_ptr<RcuSnapshot<FleetView>> view;
+        /// Name of this instance.
+        std::string instance;
+    };
+
+    explicit ReadForwarder(Parts);
+
+    /// Has the gateway run the read. After a failure this instance is to run it.
+    boost::asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> forward(ForwardedRead, TimePoint deadline);
+    /// Completes the read that the reply belongs to; a late or unknown reply is ignored. On the control thread.
+    void receiveReply(const wire::ReadReply&);
+
+    /// Reads that a gateway has replied to, and those without a reply in time; may be called on any thread.
+    std::uint64_t forwarded() const { return this->forwardedCount.load(); }
+    std::uint64_t lost() const { return this->lostCount.load(); }
+
+private:
+    struct Pending;
+
+    void send(std::string address, const ForwardedRead&, std::uint64_t id, TimePoint deadline);
+    void complete(std::uint64_t id, std::optional<ForwardedReply>);
+
+    Parts parts;
+    GatewayChoice gateways;
+    // By id of the request.
+    std::map<std::uint64_t, std::shared_ptr<Pending>> pendingReads;
+    std::uint64_t lastId = 0;
+    std::atomic<std::uint64_t> forwardedCount { 0 };
+    std::atomic<std::uint64_t> lostCount { 0 };
+};
+
+} // namespace catkinlock
--- /dev/null
+++ b/src/libsession/read_service.cpp
@@ -0,0 +1,87 @@
+#include "libsession/read_service.h"
+
+#include "catkinlock/log.h"
+#include "catkinlock/peer_sender.h"
+#include "libsession/session_context.h"
+#include "libsession/session_runner.h"
+#include "libsession/spawn.h"
+#include "libsession/target_groups.h"
+#include "libsession/view_freshness.h"
+#include "peer.pb.h"
+#include <boost/asio.hpp>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // Further reads are refused, because they would wait here for long.
+    constexpr std::size_t maxRunning = 64;
+
+} // namespace
+
+ReadService::ReadService(Parts parts)
+    : parts(std::move(parts))
+{
+}
+
+void ReadService::receiveRequest(const std::string& sender, const wire::ReadRequest& request)
+{
+    auto read = readRead(request);
+    if (!read) {
+        writeLog(LogLevel::Warning, "read_request_rejected", { { "sender", sender } });
+        return;
+    }
+    TimePoint deadline = Clock::now() + Milliseconds(request.time_left_ms());
+    spawn(this->parts.sessions->executor,
+        [self = this->shared_from_this(), sender, id = request.id(), read = std::move(*read), deadline] {
+            return self->serve(sender, id, read, deadline);
+        });
+}
+
+bool ReadService::isAvailable() const
+{
+    const SessionContext& sessions = *this->parts.sessions;
+    return !sessions.leaving && sessions.freshness->isFresh(Clock::now()) && this->running < maxRunning;
+}
+
+asio::awaitable<void> ReadService::serve(std::string sender, std::uint64_t id, ForwardedRead read, TimePoint deadline)
+{
+    auto self = this->shared_from_this();
+    auto envelope = std::make_shared<wire::Envelope>();
+    wire::ReadReply& message = *envelope->mutable_read_reply();
+    message.set_id(id);
+    if (!this->isAvailable()) {
+        message.set_unavailable(true);
+        this->reply(std::move(sender), envelope);
+        co_return;
+    }
+    auto sessions = this->parts.sessions;
+    sessions->groups->refresh(*sessions->view->read(), Clock::now());
+    StatementCall call;
+    call.route = read.route;
+    call.workspace = read.workspace;
+    call.arrivedAt = Clock::now();
+    call.deadline = deadline;
+    // The instance that received the read has checked the caller's key.
+    call.isAllowed = [sessions] { return sessions->freshness->isFresh(Clock::now()); };
+    SessionRunner runner(sessions);
+    runner.adopt(read);
+    ++this->running;
+    ForwardedReply forwarded;
+    forwarded.reply = co_await runner.run(read.statement, call);
+    --this->running;
+    forwarded.member = runner.lastMember();
+    forwarded.attempts = runner.lastAttempts();
+    writeReadReply(forwarded, message);
+    this->reply(std::move(sender), envelope);
+}
+
+void ReadService::reply(std::string address, std::shared_ptr<wire::Envelope> envelope)
+{
+    asio::post(this->parts.control,
+        [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
+}
+
+} // namespace catkinlock
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -13,6 +13,7 @@
 
 class Admission;
 class CallerProtocol;
+class ReadForwarder;
 class ServiceLevel;
 class TargetGroups;
 class ViewFreshness;
@@ -31,6 +32,8 @@
     std::shared_ptr<Admission> admission;
     std::shared_ptr<TargetGroups> groups;
     std::shared_ptr<ServiceLevel> level;
+    /// Sends reads to gateways; null if this instance runs all of them itself.
+    std::shared_ptr<ReadForwarder> reads;
     /// True once the instance drains: each session then ends after its next statement that leaves it in no transaction.
     std::atomic<bool> leaving { false };
     /// Sessions that are open now.
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
+#include "libsession/read_forwarder.h"
 #include "libsession/spawn.h"
 #include "libsession/target_link.h"
 #include <boost/asio.hpp>
@@ -87,6 +88,7 @@
 {
     this->memberId.clear();
     this->attempts = 0;
+    this->keepsConnection = this->adopted;
 }
 
 // Tells the pool whether the transaction's connection is in use by a statement. Between its statements a transaction
@@ -221,9 +223,58 @@
         co_return co_await this->runInTransaction(std::move(statement), std::move(call));
     if (this->writes(statement))
         co_return co_await this->writeOutsideTransaction(std::move(statement), std::move(call));
+    auto forwarded = co_await this->readThroughGateway(statement, call);
+    if (forwarded)
+        co_return std::move(*forwarded);
     co_return co_await this->readOutsideTransaction(std::move(statement), std::move(call));
 }
 
+void SessionRunner::adopt(const ForwardedRead& read)
+{
+    this->adopted = true;
+    this->keepsConnection = true;
+    this->values = read.values;
+    if (read.lastCommit.term)
+        this->committedPositions[read.route.pool] = read.lastCommit;
+    if (read.statement.kind != StatementKind::Execute)
+        return;
+    SessionStatement prepare;
+    prepare.kind = StatementKind::Prepare;
+    prepare.name = read.statement.name;
+    prepare.argument = read.preparedText;
+    this->prepared[prepare.name] = prepare;
+}
+
+// Has the gateway run a read, if this instance's share of the members' connections is too small to keep one for it.
+// std::nullopt if the read is to be run here.
+asio::awaitable<std::optional<TargetReply>> SessionRunner::readThroughGateway(
+    SessionStatement statement, StatementCall call)
+{
+    bool forwards = !this->adopted && this->context->reads && this->context->groups->usesGateways(call.route.pool);
+    if (!forwards)
+        co_return std::nullopt;
+    ForwardedRead read;
+    read.route = call.route;
+    read.workspace = call.workspace;
+    read.lastCommit = this->readRequirements(call).lastCommit;
+    read.values = this->values;
+    if (statement.kind == StatementKind::Execute)
+        read.preparedText = this->prepared.at(statement.name).argument;
+    read.statement = std::move(statement);
+    auto forwarded = co_await this->context->reads->forward(std::move(read), call.deadline);
+    if (!forwarded) {
+        this->keepsConnection = forwarded.error() == ForwardFailure::OwnRead;
+        this->operationMayHaveRun = this->operationMayHaveRun || forwarded.error() == ForwardFailure::ReplyLost;
+        co_return std::nullopt;
+    }
+    this->memberId = forwarded->member;
+    this->attempts = forwarded->attempts;
+    // The gateway has run the read unless its reply rules that out.
+    const auto& error = forwarded->reply.error;
+    this->operationMayHaveRun = this->operationMayHaveRun || !error || !isNotRun(*error);
+    co_return std::move(forwarded->reply);
+}
+
 // Checks the caller's permission and the primary again just before a statement is sent: either may have changed while
 // the statement waited for a connection.
 bool SessionRunner::mayStillRun(const Placement& placement, const StatementCall& call) const
@@ -339,7 +390,10 @@
         attempt = co_await this->exchange(*link, placement, statement, call, timeout);
     }
     this->logFailedAttempt(attempt, statement, placement.after);
-    rollBackAndRelease(this->context->executor, placement.pool, *link);
+    if (this->keepsConnection && (*link)->isOpen() && (*link)->state() == TransactionState::Idle)
+        placement.pool->keep(*link);
+    else
+        rollBackAndRelease(this->context->executor, placement.pool, *link);
     attempt.reply.state = TransactionState::Idle;
     co_return attempt;
 }
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -5,6 +5,7 @@
 #include "catkinlock/position.h"
 #include "catkinlock/tables.h"
 #include "catkinlock/target_message.h"
+#include "libsession/forwarded_read.h"
 #include "libsession/session_context.h"
 #include "libsession/target_groups.h"
 #include <algorithm>
@@ -44,6 +45,8 @@
     /// member's signature as proof. An error code says either that the statement had no effect or that its outcome is
     /// unknown.
     boost::asio::awaitable<TargetReply> run(SessionStatement, StatementCall);
+    /// Takes over the session of a read that another instance has forwarded to this one, which then runs it itself.
+    void adopt(const ForwardedRead&);
     /// Resets `lastMember` and `lastAttempts`. To be called before each statement.
     void beginStatement();
     /// Rolls back the open transaction in the background. The session's transaction is then in the state Failed.
@@ -101,6 +104,7 @@
     ReadRequirements readRequirements(const StatementCall&) const;
 
     boost::asio::awaitable<TargetReply> readOutsideTransaction(SessionStatement, StatementCall);
+    boost::asio::awaitable<std::optional<TargetReply>> readThroughGateway(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> writeOutsideTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> runInTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> commit(SessionStatement, StatementCall);
@@ -124,6 +128,10 @@
     std::string memberId;
     unsigned attempts = 0;
     bool operationMayHaveRun = false;
+    // True if the session is another instance's.
+    bool adopted = false;
+    // True if the statement is a read for which this instance is the gateway, so that its connection is kept.
+    bool keepsConnection = false;
 };
 
 } // namespace catkinlock
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -1,6 +1,7 @@
 #include "libsession/target_groups.h"
 
 #include "catkinlock/rendezvous.h"
+#include "libsession/gateway_choice.h"
 #include "libsession/target_link.h"
 #include <random>
 
@@ -53,7 +54,10 @@
             = service == view.tables->pools.end() ? 1 : service->second.databases.front().connections;
         pool->setShare((maxConnections - std::min(maxConnections, reservedConnections)) / instances);
     }
+    this->gatewayServices.clear();
     for (const auto& [service, pool] : view.tables->pools) {
+        if (needsGateways(pool.databases.front().connections, instances))
+            this->gatewayServices.insert(service);
         if (auto primary = view.primaryOf(service))
             this->poolById[primary->id]->beginTerm(view.termOf(service), now);
     }
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -93,6 +93,8 @@
     /// Highest position, by service, at which this instance acknowledged a commit.
     std::map<std::string, Position> acknowledged() const { return this->highestAcknowledged; }
     std::vector<MemberObservation> observations() const;
+    /// True if reads of the service go through gateways, because there are too few connections for all instances.
+    bool usesGateways(const std::string& service) const { return this->gatewayServices.count(service) != 0; }
     /// Closes connections that have been idle for long. To be called periodically.
     void runMaintenance(TimePoint now);
     void closeAll();
@@ -107,6 +109,7 @@
     std::string dataCentre;
     // Makes the choice between equal members differ from other instances.
     std::uint64_t choiceSeed;
+    std::set<std::string> gatewayServices;
     // Serial of the view that was applied last.
     std::uint64_t viewSerial = 0;
     std::map<std::string, std::shared_ptr<TargetPool>> poolById;
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -23,6 +23,8 @@
     // The same if there are more instances than connections, since all of them together must leave the member free
     // ones.
     constexpr Milliseconds scarceIdleLifetime { 200 };
+    // Idle connections that an instance keeps as a gateway.
+    constexpr std::size_t maxKept = 4;
     // A busy instance may open this many times its share while the member accepts connections.
     constexpr std::size_t maxShares = 3;
     // The pool stays within its share for this time after the member refused a connection at its limit.
@@ -76,7 +78,7 @@
 
 std::size_t TargetPool::connectionLimit() const
 {
-    return this->isConnectionLimited() ? this->share : this->share * maxShares;
+    return this->isConnectionLimited() ? this->share : this->share * maxShares + this->keptCount();
 }
 
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
@@ -93,10 +95,20 @@
     return nullptr;
 }
 
+std::size_t TargetPool::keptCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return item.kept; }));
+}
+
+// Closes the oldest idle connection, and one that is kept only if there is no other.
 void TargetPool::dropOldestIdle()
 {
-    this->idle.front().link->close();
-    this->idle.pop_front();
+    auto oldest = std::find_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return !item.kept; });
+    if (oldest == this->idle.end())
+        oldest = this->idle.begin();
+    oldest->link->close();
+    this->idle.erase(oldest);
     --this->connectionCount;
 }
 
@@ -261,6 +273,14 @@
     this->recordClosed();
 }
 
+void TargetPool::keep(std::shared_ptr<TargetLink> link)
+{
+    if (!link->isOpen() || link->state() != TransactionState::Idle || this->keptCount() >= maxKept)
+        return this->release(std::move(link));
+    this->recordReturned(link->workspace());
+    this->makeAvailable(std::move(link), true);
+}
+
 void TargetPool::recordReturned(const std::string& workspace)
 {
     auto found = this->inUseByWorkspace.find(workspace);
@@ -268,7 +288,7 @@
         this->inUseByWorkspace.erase(found);
 }
 
-void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link)
+void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link, bool kept)
 {
     if (this->hasCapacity()) {
         if (auto waiter = this->takeWaiter(link->workspace())) {
@@ -278,11 +298,11 @@
             return;
         }
     }
-    this->idle.push_back({ std::move(link), Clock::now() });
+    this->idle.push_back({ std::move(link), Clock::now(), kept });
     // The member is at its connection limit, so unused connections are closed to let other instances connect.
     if (this->isConnectionLimited())
         this->dropIdleBeyond(0);
-    while (!this->idle.empty() && this->connectionCount > this->share)
+    while (!this->idle.empty() && this->connectionCount > this->share + this->keptCount())
         this->dropOldestIdle();
     this->serveNext();
 }
@@ -335,13 +355,23 @@
     this->recorder.recordFailure(sentAt, lostWrite, now);
 }
 
+Milliseconds TargetPool::lifetimeOf(const IdleLink& item) const
+{
+    if (item.kept)
+        return surplusIdleLifetime;
+    return this->idle.size() > this->maxIdle ? this->surplusLifetime : idleLifetime;
+}
+
 void TargetPool::closeIdle(TimePoint now)
 {
-    while (!this->idle.empty()) {
-        bool surplus = this->idle.size() > this->maxIdle;
-        if (now - this->idle.front().since < (surplus ? this->surplusLifetime : idleLifetime))
-            break;
-        this->dropOldestIdle();
+    for (auto item = this->idle.begin(); item != this->idle.end();) {
+        if (now - item->since < this->lifetimeOf(*item)) {
+            ++item;
+            continue;
+        }
+        item->link->close();
+        item = this->idle.erase(item);
+        --this->connectionCount;
     }
 }
 
