Let the instances with the most cores hold the slots

Callers saw: after a start of all 295 instances, which were ready within 0.5 s, refusals "at its rate" for 2 s more: 1,206 of 1,235 failed statements in the logs of 34 instances.

Cause: after a start each instance opens connections to the holders, and they to it. A holder with 0.12 cores is busy with 295 of them while it has to take over its slots: seen 0.6 to 1.5 s after it was ready.

Change: an instance states its cores (a new setting, optional) in its entry; if three or more have at least half of the most, these share the slots. An instance that doesn't share them gives its own back.

Tests: slotCandidates, and an instance that gives its slots back.

--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -31,6 +31,8 @@
     std::string storeAddress;
     /// "ip:port" of the platform's promotion service.
     std::string promotionAddress;
+    /// Processor cores that the instance may use, above 0; 0 if that is not known. Instances with more hold the slots.
+    double cores = 0;
     /// Secret that all instances share, at least 16 characters.
     std::string fleetSecret;
     /// Number of slots that the workspaces' rates are divided into, 1 to 65536. Must be the same on every instance.
--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -28,6 +28,7 @@
     reader.text("instance", "ready_path", settings.readyPath, true);
     reader.text("instance", "metrics", settings.metricsAddress, false);
     reader.address("instance", "peer", settings.peerAddress);
+    reader.real("instance", "cores", settings.cores, 0, 1024);
     reader.number("instance", "drain_seconds", settings.drainSeconds, 1, 600);
     reader.text("platform", "adapter", settings.adapter, true);
     reader.address("platform", "store", settings.storeAddress);
--- a/src/libcore/settings_reader.h
+++ b/src/libcore/settings_reader.h
@@ -44,6 +44,20 @@
     }
 
     /// Reads an integer from `min` to `max`. `out` keeps its default if the key is absent.
+    /// Reads a number that may have a fraction.
+    void real(const char* section, const char* key, double& out, double min, double max)
+    {
+        const toml::node* node = this->find(section, key);
+        if (!node)
+            return;
+        auto value = node->is_number() ? node->value<double>() : std::nullopt;
+        if (!value || !(*value >= min && *value <= max)) {
+            this->addError(
+                this->line(section, key), section, key, fmt::format("must be a number from {} to {}", min, max));
+            return;
+        }
+        out = *value;
+    }
     void number(const char* section, const char* key, std::uint32_t& out, std::uint32_t min, std::uint32_t max)
     {
         const toml::node* node = this->find(section, key);
--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -74,8 +74,10 @@
 
 std::size_t SlotKeeper::fairShare() const
 {
-    std::size_t fleet = std::max<std::size_t>(this->hooks.fleet().size(), 1);
-    return (this->options.slotCount + fleet - 1) / fleet;
+    std::vector<std::string> fleet = this->hooks.fleet();
+    if (std::find(fleet.begin(), fleet.end(), this->options.instance) == fleet.end())
+        return 0;
+    return (this->options.slotCount + fleet.size() - 1) / fleet.size();
 }
 
 // Number of instances that rank before this one for a slot, by rendezvous hashing. Without the ranks, all instances of
--- a/src/libserver/slot_keeper.h
+++ b/src/libserver/slot_keeper.h
@@ -47,7 +47,7 @@
     struct Hooks {
         /// Called when the held slots or the end of the lease may have changed.
         std::function<void(const std::set<std::uint32_t>&, TimePoint validUntil)> changed;
-        /// Names of the instances that share the slots, this one included.
+        /// Names of the instances that share the slots. An instance that isn't among them holds none.
         std::function<std::vector<std::string>()> fleet;
         /// Whether an earlier run of this instance may have left slots in the store; no value while that is not known
         /// yet.
@@ -97,7 +97,7 @@
     boost::asio::awaitable<void> releaseSurplus();
     // Stops using the slots at once, and deletes their keys after the release delay.
     boost::asio::awaitable<void> release(std::set<std::uint32_t> surplus);
-    // Number of slots divided by the number of instances, rounded up.
+    // Number of slots divided by the number of instances that share them, rounded up; 0 if this one doesn't.
     std::size_t fairShare() const;
     std::set<std::uint32_t> freeSlots() const;
     // Claims anew, and soon, if a slot has become free.
--- a/src/libserver/slot_keeper_test.cpp
+++ b/src/libserver/slot_keeper_test.cpp
@@ -109,6 +109,16 @@
     EXPECT_TRUE(this->runUntil([&] { return second.inUse().size() == 2; }));
 }
 
+TEST_F(SlotsAfterARestore, AnInstanceThatDoesNotShareTheSlotsGivesItsOwnBack)
+{
+    Holder& first = this->add("a");
+    ASSERT_TRUE(this->runUntil([&] { return first.inUse().size() == 2; }));
+    this->fleet = { "b" };
+    Holder& second = this->add("b");
+    EXPECT_TRUE(this->runUntil([&] { return second.inUse().size() == slotCount; }));
+    EXPECT_TRUE(first.inUse().empty());
+}
+
 // Guards against a renewal that is retried no sooner than the claim of slots that others hold.
 TEST_F(SlotsAfterARestore, AHolderThatWantsMoreSlotsKeepsItsOwnThroughAShortOutage)
 {
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -18,6 +18,8 @@
     /// Address at which other instances send messages to it, "ip:port".
     std::string peerAddress;
     std::string dataCentre;
+    /// Processor cores that the instance may use; 0 if that is not known.
+    double cores = 0;
 
     bool operator==(const RegisteredInstance&) const = default;
 };
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -226,8 +226,8 @@
         = std::make_shared<Admission>(this->control, this->requests.get_executor(), this->link, this->membership);
     this->sessions->admission = this->admission;
     this->registration = std::make_shared<Registration>(this->control, this->platform.store, this->settings.name,
-        RegisteredInstance { this->peerAddress, this->settings.dataCentre }, this->settings.leaseSeconds,
-        [this] { this->requestOwnEntry(); });
+        RegisteredInstance { this->peerAddress, this->settings.dataCentre, this->settings.cores },
+        this->settings.leaseSeconds, [this] { this->requestOwnEntry(); });
     this->freshness->setListed(false);
     this->slotKeeper = std::make_shared<SlotKeeper>(this->control, this->platform.store,
         SlotKeeper::Options { this->settings.slots, this->settings.leaseSeconds, this->settings.name, this->peerAddress,
@@ -236,7 +236,7 @@
                                this->admission->updateSlots(held, until, this->settings.slots);
                                this->membership->setSelf(InstanceState::Live, { held.begin(), held.end() });
                            },
-            [this] { return this->view->read()->instanceNames(); },
+            [this] { return slotCandidates(*this->view->read(), this->settings.name); },
             [this]() -> std::optional<bool> {
                 if (!this->mirror->isLoaded())
                     return std::nullopt;
--- a/src/libsession/registration.cpp
+++ b/src/libsession/registration.cpp
@@ -32,7 +32,8 @@
     : context(context)
     , store(std::move(store))
     , key(instancePrefix + name)
-    , value(json::serialize(json::object { { "peer", self.peerAddress }, { "data_centre", self.dataCentre } }))
+    , value(json::serialize(
+          json::object { { "peer", self.peerAddress }, { "data_centre", self.dataCentre }, { "cores", self.cores } }))
     , leaseSeconds(leaseSeconds)
     , timer(context)
     , written(std::move(written))
--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+    // An instance with at least this part of the most cores of any counts as strong.
+    constexpr double minCoresFraction = 0.5;
+    // With fewer strong instances, too large a part of each rate would depend on one of them.
+    constexpr std::size_t minStrongHolders = 3;
+
     // Reads name and address of the instance that a slot's value names into `record`. Returns false if the value is
     // malformed.
     bool readHolder(const std::string& text, InstanceRecord& record)
@@ -28,6 +33,22 @@
 
 } // namespace
 
+std::vector<std::string> slotCandidates(const FleetView& view, const std::string& self)
+{
+    double most = 0;
+    for (const auto& [name, instance] : view.instances)
+        most = std::max(most, instance.cores);
+    std::vector<std::string> strong;
+    for (const auto& [name, instance] : view.instances) {
+        if (instance.cores >= most * minCoresFraction)
+            strong.push_back(name);
+    }
+    auto candidates = strong.size() >= minStrongHolders ? std::move(strong) : view.instanceNames();
+    if (!view.instances.count(self))
+        candidates.push_back(self);
+    return candidates;
+}
+
 std::vector<InstanceRecord> instancesInStore(const std::map<std::string, KeyValue>& values, const FleetView& view)
 {
     std::map<std::string, InstanceRecord> records;
--- a/src/libsession/slot_directory.h
+++ b/src/libsession/slot_directory.h
@@ -9,6 +9,11 @@
 
 namespace catkinlock {
 
+/// Names of the instances that share the slots: those with the most processor cores if there are a few of them,
+/// otherwise all. A holder grants tokens to all other instances, which costs a small one too much after a start of all.
+/// `self` is among them while it isn't registered.
+std::vector<std::string> slotCandidates(const FleetView&, const std::string& self);
+
 /// Records of all instances that are registered or hold slots according to the metadata store. Their version is the
 /// serial number of the view, so that they replace records from earlier views. The record of an instance that holds
 /// slots has the address from its slots and no data centre. Slots with a malformed value are ignored.
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -37,6 +37,9 @@
         if (!peer || !peer->is_string() || !dataCentre || !dataCentre->is_string())
             return std::nullopt;
         RegisteredInstance instance { json::value_to<std::string>(*peer), json::value_to<std::string>(*dataCentre) };
+        const json::value* cores = object->if_contains("cores");
+        if (cores && cores->is_double())
+            instance.cores = cores->get_double();
         return parseAddress(instance.peerAddress).port() ? std::optional(instance) : std::nullopt;
     }
 
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -1,5 +1,6 @@
 #include "catkinlock/store_revision.h"
 #include "libsession/relay_choice.h"
+#include "libsession/slot_directory.h"
 #include "libsession/view_builder.h"
 #include <gtest/gtest.h>
 
@@ -59,6 +60,37 @@
     EXPECT_EQ(builder.takeFaults().size(), 1u);
 }
 
+TEST(ViewBuilder, AnInstanceThatHasLeftIsNotRegistered)
+{
+    ViewBuilder builder = makeBuilder();
+    std::string entry = R"({"peer":"10.0.0.1:7560","data_centre":"here","cores":0.5})";
+    FleetView before = builder.build(copyOf({ { "catkinlock/instance/a", entry, 1 } }), 1, start);
+    EXPECT_TRUE(before.lists("a", "10.0.0.1:7560"));
+    EXPECT_FALSE(before.lists("a", "10.0.0.2:7560"));
+    EXPECT_EQ(before.instances.at("a").cores, 0.5);
+    FleetView after = builder.build(copyOf({ { "catkinlock/instance/a", R"({"left":true})", 2 } }), 2, start);
+    EXPECT_TRUE(after.instances.empty());
+    EXPECT_TRUE(after.leftInstances.count("a"));
+}
+
+TEST(SlotDirectory, TheInstancesWithTheMostCoresShareTheSlotsIfThereAreAFew)
+{
+    FleetView view;
+    for (int number = 0; number < 20; ++number)
+        view.instances["small-" + std::to_string(number)] = { "10.0.0.1:1", "here", 0.1 };
+    view.instances["large-0"] = { "10.0.0.2:1", "here", 0.5 };
+    view.instances["large-1"] = { "10.0.0.3:1", "here", 0.5 };
+    EXPECT_EQ(slotCandidates(view, "large-0").size(), 22u);
+    view.instances["large-2"] = { "10.0.0.4:1", "here", 0.5 };
+    EXPECT_EQ(slotCandidates(view, "small-0"), (std::vector<std::string> { "large-0", "large-1", "large-2" }));
+    // An instance that isn't registered yet keeps the slots of its earlier run.
+    EXPECT_EQ(slotCandidates(view, "new").size(), 4u);
+    // Without the settings all are equal.
+    for (auto& [name, instance] : view.instances)
+        instance.cores = 0;
+    EXPECT_EQ(slotCandidates(view, "small-0").size(), 23u);
+}
+
 TEST(ViewBuilder, KeepsAnExpiredMemberForAShortTimeUnlessItWasDraining)
 {
     ViewBuilder builder = makeBuilder();
