Bound the token requests that await a reply

A request is sent to another holder after 10 ms, so that holders that are slow under load would get up to six for one token.

--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds replyTimeout { 60 };
     // If there is no reply after this time, the tokens are requested from another holder as well.
     constexpr Milliseconds slowReplyDelay { 10 };
+    // Requests that may await a reply at once. More would add to the load of holders that are slow because of it.
+    constexpr std::size_t maxPending = 4;
     // Delay before the next request to a holder that granted less than one token.
     constexpr Milliseconds emptyGrantRetryDelay { 100 };
     // Delay before the next request to a holder that did not reply in time.
@@ -65,6 +67,8 @@
     }
     if (missing <= 0)
         return std::nullopt;
+    if (this->pending.size() >= maxPending)
+        return std::nullopt;
     std::int64_t wanted = wholeTokens(missing, prefetch);
     if (!std::exchange(this->hasAsked, true))
         this->firstHolder = id;
