Test reads through gateways end to end, and without their gateway

Two instances and five connections a member: a read has the values and prepared statements of its session at either instance, and is served after its gateway was killed.

--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -30,6 +30,9 @@
 constexpr std::chrono::milliseconds waitInterval { 50 };
 // Parts of the rates in a fleet with the default settings.
 constexpr std::size_t slotCount = 32;
+// Connections of a member: enough for all instances, and so few that reads go through gateways.
+constexpr int manyConnections = 40;
+constexpr int fewConnections = 5;
 
 // A loopback address with a port that was free when it was chosen.
 std::string freeAddress()
@@ -42,7 +45,8 @@
 // The operators' configuration: one route of each kind, one service and one workspace with these keys, given as JSON
 // strings.
 std::string configurationDocument(int version, const std::string& apiKeys,
-    const std::vector<std::string>& routeKinds = { "primary", "read_your_writes" })
+    const std::vector<std::string>& routeKinds = { "primary", "read_your_writes" },
+    int maxConnections = manyConnections)
 {
     std::string limits = R"("limits":{"txIdleMs":3000})";
     std::string routes;
@@ -50,10 +54,10 @@
         routes += fmt::format(R"({}{{"name":"r","database":"{}-db","routeKind":"{}","timeoutMs":1500,)"
                               R"("targetLatencyMs":400,"priority":1,"service":"ledger","maxStalenessMs":2500}})",
             routes.empty() ? "" : ",", routeKind, routeKind);
-    return fmt::format(R"({{"configVersion":{},"routes":[{}],"services":[{{"name":"ledger","maxConns":40,)"
+    return fmt::format(R"({{"configVersion":{},"routes":[{}],"services":[{{"name":"ledger","maxConns":{},)"
                        R"("syncReplicas":1}}],{},"tenants":[{{"name":"tours","apiKeys":[{}],"ratePerS":500,)"
                        R"("burst":500}}]}})",
-        version, routes, limits, apiKeys);
+        version, routes, maxConnections, limits, apiKeys);
 }
 
 // A group of three stand-in members, a stand-in store, and two instances as child processes.
@@ -62,7 +66,7 @@
     asio::io_context context { 1 };
 
 public:
-    TestFleet()
+    explicit TestFleet(int maxConnections = manyConnections)
     {
         this->store = std::make_shared<KvService>(this->context, [this](const std::string& id) { this->promote(id); });
         this->storeAddress = this->store->start();
@@ -72,7 +76,8 @@
             this->members.push_back(member);
             this->putTargetRecord(i);
         }
-        this->store->put("op/config", configurationDocument(1, R"("key-1","key-2")"));
+        this->store->put("op/config",
+            configurationDocument(1, R"("key-1","key-2")", { "primary", "read_your_writes" }, maxConnections));
         this->store->takeCopy();
         this->thread = std::thread([this] {
             auto guard = asio::make_work_guard(this->context);
@@ -299,6 +304,39 @@
     EXPECT_NE(second.run("EXECUTE s2 seat").find("ERR NOSTMT"), std::string::npos);
 }
 
+// A read runs at the gateway of its workspace, which is one of the two instances, with the session of the other one.
+TEST(Sessions, AReadThroughAGatewayHasTheValuesAndPreparedStatementsOfItsSession)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (const std::string& address : fleet.callerAddresses)
+        callers.push_back(std::make_unique<LineCaller>(address, "read_your_writes-db", "key-1"));
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        std::string tag = fmt::format("-{}", i);
+        runUntilNotBusy(*callers[i], fmt::format("WRITE seat x{}", i));
+        callers[i]->run("SET tag " + tag);
+        callers[i]->run("PREPARE s1 READ q1");
+        std::string expected = fmt::format("ROW x{}{}\r\n", i, tag);
+        EXPECT_NE(runUntilNotBusy(*callers[i], "READ seat").find(expected), std::string::npos);
+        EXPECT_NE(runUntilNotBusy(*callers[i], "EXECUTE s1 seat").find(expected), std::string::npos);
+    }
+    EXPECT_EQ(fleet.committed().size(), callers.size());
+}
+
+TEST(Sessions, ReadsAreServedWithoutTheirGateway)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    for (std::size_t lost = 0; lost < fleet.instances.size(); ++lost) {
+        LineCaller caller(fleet.callerAddresses[1 - lost], "primary-db", "key-1");
+        EXPECT_NE(runUntilNotBusy(caller, "READ seat").find("DONE s"), std::string::npos);
+        fleet.instances[lost]->kill();
+        EXPECT_NE(runUntilNotBusy(caller, "READ seat").find("DONE s"), std::string::npos);
+        fleet.restartInstance(lost);
+    }
+}
+
 TEST(Sessions, AWithdrawnKeyStopsAnOpenSession)
 {
     TestFleet fleet;
