Deliver a gateway's late reply if the read fails here

Found in reading the change: a reply that came after three quarters of the objective was dropped, also if the read then failed at its own instance. It is kept for the read until its deadline.

--- a/src/libsession/read_forwarder.cpp
+++ b/src/libsession/read_forwarder.cpp
@@ -26,12 +26,17 @@
 } // namespace
 
 struct ReadForwarder::Pending {
-    explicit Pending(const asio::any_io_executor& executor)
+    Pending(const asio::any_io_executor& executor, TimePoint deadline, std::shared_ptr<LateReply> late)
         : ended(executor)
+        , deadline(deadline)
+        , late(std::move(late))
     {
     }
     // Cancelled by the reply.
     asio::steady_timer ended;
+    TimePoint deadline;
+    std::shared_ptr<LateReply> late;
+    bool givenUp = false;
     bool replied = false;
     std::optional<ForwardedReply> reply;
 };
@@ -42,7 +47,7 @@
 }
 
 asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> ReadForwarder::forward(
-    ForwardedRead read, TimePoint deadline)
+    ForwardedRead read, TimePoint deadline, std::shared_ptr<LateReply> late)
 {
     auto self = this->shared_from_this();
     TimePoint now = Clock::now();
@@ -53,12 +58,13 @@
     if (gateway.empty() || now >= deadline)
         co_return tl::unexpected(ForwardFailure::NotRun);
     std::uint64_t id = ++this->lastId;
-    auto pending = std::make_shared<Pending>(this->parts.requests);
+    this->dropExpired(now);
+    auto pending = std::make_shared<Pending>(this->parts.requests, deadline, std::move(late));
     this->pendingReads[id] = pending;
     pending->ended.expires_after(replyTime(read, now, deadline));
     this->send(view->instances.at(gateway).peerAddress, read, id, deadline);
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
-    this->pendingReads.erase(id);
+    pending->givenUp = !pending->replied;
     if (pending->reply) {
         this->gateways.recordReply(gateway);
         ++this->forwardedCount;
@@ -97,9 +103,20 @@
     auto found = this->pendingReads.find(id);
     if (found == this->pendingReads.end())
         return;
-    found->second->replied = true;
-    found->second->reply = std::move(reply);
-    found->second->ended.cancel();
+    std::shared_ptr<Pending> pending = found->second;
+    this->pendingReads.erase(found);
+    if (pending->givenUp) {
+        pending->late->reply = std::move(reply);
+        return;
+    }
+    pending->replied = true;
+    pending->reply = std::move(reply);
+    pending->ended.cancel();
+}
+
+void ReadForwarder::dropExpired(TimePoint now)
+{
+    std::erase_if(this->pendingReads, [now](const auto& entry) { return entry.second->deadline <= now; });
 }
 
 } // namespace catkinlock
--- a/src/libsession/read_forwarder.h
+++ b/src/libsession/read_forwarder.h
@@ -28,6 +28,11 @@
     ReplyLost,
 };
 
+/// Receives the reply to a read that was given up as lost, if it arrives before the read's deadline.
+struct LateReply {
+    std::optional<ForwardedReply> reply;
+};
+
 /// Sends reads outside a transaction to the gateway of their workspace and service, which keeps connections to the
 /// members for them. A read may run at the gateway although no reply arrives; it is then run again here, which a read
 /// allows. Runs on the request thread; the link is used on the control thread.
@@ -44,8 +49,10 @@
 
     explicit ReadForwarder(Parts);
 
-    /// Has the gateway run the read. After a failure this instance is to run it.
-    boost::asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> forward(ForwardedRead, TimePoint deadline);
+    /// Has the gateway run the read. After a failure this instance is to run it; a reply that arrives after
+    /// `ForwardFailure::ReplyLost` is stored in `late`.
+    boost::asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> forward(
+        ForwardedRead, TimePoint deadline, std::shared_ptr<LateReply> late);
     /// Completes the read that the reply belongs to; a late or unknown reply is ignored. On the control thread.
     void receiveReply(const wire::ReadReply&);
 
@@ -58,6 +65,7 @@
 
     void send(std::string address, const ForwardedRead&, std::uint64_t id, TimePoint deadline);
     void complete(std::uint64_t id, std::optional<ForwardedReply>);
+    void dropExpired(TimePoint now);
 
     Parts parts;
     GatewayChoice gateways;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -223,10 +223,21 @@
         co_return co_await this->runInTransaction(std::move(statement), std::move(call));
     if (this->writes(statement))
         co_return co_await this->writeOutsideTransaction(std::move(statement), std::move(call));
-    auto forwarded = co_await this->readThroughGateway(statement, call);
+    co_return co_await this->read(std::move(statement), std::move(call));
+}
+
+// Runs a read at its gateway, or here if that fails. A reply of the gateway that came too late is used if it is the
+// only one.
+asio::awaitable<TargetReply> SessionRunner::read(SessionStatement statement, StatementCall call)
+{
+    auto late = std::make_shared<LateReply>();
+    auto forwarded = co_await this->readThroughGateway(statement, call, late);
     if (forwarded)
         co_return std::move(*forwarded);
-    co_return co_await this->readOutsideTransaction(std::move(statement), std::move(call));
+    TargetReply reply = co_await this->readOutsideTransaction(std::move(statement), std::move(call));
+    if (reply.error && late->reply && !late->reply->reply.error)
+        co_return this->takeReply(std::move(*late->reply));
+    co_return reply;
 }
 
 void SessionRunner::adopt(const ForwardedRead& read)
@@ -248,7 +259,7 @@
 // Has the gateway run a read, if this instance's share of the members' connections is too small to keep one for it.
 // std::nullopt if the read is to be run here.
 asio::awaitable<std::optional<TargetReply>> SessionRunner::readThroughGateway(
-    SessionStatement statement, StatementCall call)
+    SessionStatement statement, StatementCall call, std::shared_ptr<LateReply> late)
 {
     bool forwards = !this->adopted && this->context->reads && this->context->groups->usesGateways(call.route.pool);
     if (!forwards)
@@ -261,18 +272,23 @@
     if (statement.kind == StatementKind::Execute)
         read.preparedText = this->prepared.at(statement.name).argument;
     read.statement = std::move(statement);
-    auto forwarded = co_await this->context->reads->forward(std::move(read), call.deadline);
+    auto forwarded = co_await this->context->reads->forward(std::move(read), call.deadline, std::move(late));
     if (!forwarded) {
         this->keepsConnection = forwarded.error() == ForwardFailure::OwnRead;
         this->operationMayHaveRun = this->operationMayHaveRun || forwarded.error() == ForwardFailure::ReplyLost;
         co_return std::nullopt;
     }
-    this->memberId = forwarded->member;
-    this->attempts = forwarded->attempts;
+    co_return this->takeReply(std::move(*forwarded));
+}
+
+TargetReply SessionRunner::takeReply(ForwardedReply forwarded)
+{
+    this->memberId = forwarded.member;
+    this->attempts = forwarded.attempts;
     // The gateway has run the read unless its reply rules that out.
-    const auto& error = forwarded->reply.error;
+    const auto& error = forwarded.reply.error;
     this->operationMayHaveRun = this->operationMayHaveRun || !error || !isNotRun(*error);
-    co_return std::move(forwarded->reply);
+    return std::move(forwarded.reply);
 }
 
 // Checks the caller's permission and the primary again just before a statement is sent: either may have changed while
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -17,6 +17,8 @@
 
 namespace catkinlock {
 
+struct LateReply;
+
 /// The context that one statement runs in: the route and workspace it was admitted for, and its deadline.
 struct StatementCall {
     Route route;
@@ -104,7 +106,10 @@
     ReadRequirements readRequirements(const StatementCall&) const;
 
     boost::asio::awaitable<TargetReply> readOutsideTransaction(SessionStatement, StatementCall);
-    boost::asio::awaitable<std::optional<TargetReply>> readThroughGateway(SessionStatement, StatementCall);
+    boost::asio::awaitable<TargetReply> read(SessionStatement, StatementCall);
+    boost::asio::awaitable<std::optional<TargetReply>> readThroughGateway(
+        SessionStatement, StatementCall, std::shared_ptr<LateReply>);
+    TargetReply takeReply(ForwardedReply);
     boost::asio::awaitable<TargetReply> writeOutsideTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> runInTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> commit(SessionStatement, StatementCall);
