--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -113,6 +113,26 @@
     });
 }
 
+TEST(TargetPool, AGatewayKeepsAFewConnectionsForAShortTimeAlthoughThereAreFew)
+{
+    PoolFixture fixture;
+    auto pool = fixture.pool(0);
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto kept = co_await pool->borrow("tours", 1, farDeadline());
+        auto other = co_await pool->borrow("museum", 1, farDeadline());
+        EXPECT_TRUE(kept && other);
+        pool->keep(*kept);
+        pool->release(*other);
+        pool->closeIdle(Clock::now() + Milliseconds(250));
+        EXPECT_EQ(pool->open(), 1u);
+        auto again = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_EQ(*again, *kept);
+        pool->keep(*again);
+        pool->closeIdle(Clock::now() + Milliseconds(2500));
+        EXPECT_EQ(pool->open(), 0u);
+    });
+}
+
 // A pool that didn't learn of a new term would go on counting the failures of the last one, and one that belonged to
 // another term than the view would count for nothing.
 TEST(TargetGroups, StartsThePrimarysHealthAnewWhenTheViewNamesItForANewTerm)
