Parse the entry of an instance once for each view

Each build of a view parsed every instance's entry twice: for the mark of one that has left, then for its fields. The mark is now looked for only where the fields are missing, as in each entry that has it. Behaviour is the same for all entries that instances write.

--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -187,11 +187,11 @@
 void ViewBuilder::readInstances(const std::map<std::string, KeyValue>& values, FleetView& view)
 {
     forEachUnder(values, instancePrefix, [&](const std::string& name, const KeyValue& entry) {
-        if (isLeft(entry.value)) {
+        auto instance = parseInstance(entry.value);
+        if (!instance && isLeft(entry.value)) {
             view.leftInstances.insert(name);
             return;
         }
-        auto instance = parseInstance(entry.value);
         if (!instance) {
             this->addFault(entry, fmt::format("entry of instance {} can't be read", name));
             auto last = this->lastInstances.find(name);
