Report ready only once sessions are accepted

Cause: an instance uses only a view that lists it, but logged that it was ready, and left the state Starting, as soon as its first view had tables and targets. In the milliseconds up to the arrival of its own entry it refused each session with BUSY and closed it. Change: StoreMirror reports each confirmation, and the instance is ready once its view is usable.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -97,6 +97,7 @@
     void start();
     void applyStoreChange();
     void publishView();
+    void serveOnceUsable();
     void followOwnEntry(const FleetView&);
     void requestOwnEntry();
     const RelayPlan& relayPlan();
@@ -188,7 +189,8 @@
     this->mirror = std::make_shared<StoreMirror>(this->control,
         StoreMirror::Parts { this->platform.store, this->relay, this->freshness, this->time, this->budget,
             shareOf(this->settings.name) },
-        StoreMirror::Hooks { [this] { this->applyStoreChange(); }, [this] { return this->relayPlan(); } });
+        StoreMirror::Hooks { [this] { this->applyStoreChange(); }, [this] { this->serveOnceUsable(); },
+            [this] { return this->relayPlan(); } });
     auto executor = this->requests.get_executor();
     this->sessions->executor = executor;
     this->sessions->protocol = this->platform.callerProtocol;
@@ -310,11 +312,18 @@
             { { "configuration", fmt::format("{}", tables->revision) },
                 { "revision", fmt::format("{}", this->mirror->revision()) } });
     }
-    bool usable = this->activeTablesRevision && !this->view->read()->targets.empty();
-    if (usable && this->lifecycle.state() == InstanceLifecycle::State::Starting) {
-        this->lifecycle.ready();
-        writeLog(LogLevel::Info, "ready");
-    }
+}
+
+// Ends the start of this instance once its view may be used: sessions that are opened earlier are refused.
+void FrontInstance::Parts::serveOnceUsable()
+{
+    if (this->lifecycle.state() != InstanceLifecycle::State::Starting)
+        return;
+    bool hasTables = this->activeTablesRevision && !this->view->read()->targets.empty();
+    if (!hasTables || !this->freshness->isFresh(Clock::now()))
+        return;
+    this->lifecycle.ready();
+    writeLog(LogLevel::Info, "ready");
 }
 
 // A view without this instance's entry is not used: a leader that changes a primary need not wait for this instance.
--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -101,7 +101,7 @@
             { "revision", text(StoreRevision::fromSequence(this->copy.revision()).number) },
             { "keys", fmt::format("{}", this->copy.values().size()) } });
     this->hooks.changed();
-    this->parts.freshness->confirm(requestedAt);
+    this->confirm(requestedAt);
     co_return true;
 }
 
@@ -278,10 +278,16 @@
     if (merge == StoreCopy::Merge::Changed)
         this->hooks.changed();
     // The view in use counts as confirmed only once it contains the changes.
-    this->parts.freshness->confirm(confirmedAt);
+    this->confirm(confirmedAt);
     return merge;
 }
 
+void StoreMirror::confirm(TimePoint asOf)
+{
+    this->parts.freshness->confirm(asOf);
+    this->hooks.confirmed();
+}
+
 // Changes often occur in bursts. The delay lets the next poll return several of them instead of one.
 asio::awaitable<void> StoreMirror::awaitBatch() { return this->parts.time->sleepFor(batchDelay); }
 
--- a/src/libsession/store_mirror.h
+++ b/src/libsession/store_mirror.h
@@ -37,6 +37,8 @@
     struct Hooks {
         /// Called after the copy has changed, before the change counts as confirmed.
         std::function<void()> changed;
+        /// Called after each confirmation of the copy.
+        std::function<void()> confirmed;
         /// Returns the sources to read from; its `relays` are peer addresses instead of instance names.
         std::function<RelayPlan()> plan;
     };
@@ -76,6 +78,7 @@
     Milliseconds viewAge() const;
     bool isOverdue() const { return this->viewAge() > this->parts.budget.overdueAfter; }
     StoreCopy::Merge applyChanges(const KeyChanges&, TimePoint confirmedAt);
+    void confirm(TimePoint asOf);
     boost::asio::awaitable<void> awaitBatch();
     void recordStoreFailure(const std::string& message);
     void recordStoreReply();
--- a/src/libsession/store_restore_test.cpp
+++ b/src/libsession/store_restore_test.cpp
@@ -45,7 +45,7 @@
         });
         this->mirror = std::make_shared<StoreMirror>(context,
             StoreMirror::Parts { this->store, this->relay, this->freshness, this->time, budget },
-            StoreMirror::Hooks { [] {}, [this] { return this->plan; } });
+            StoreMirror::Hooks { [] {}, [] {}, [this] { return this->plan; } });
         this->mirror->start();
     }
 
--- a/src/libsession/supply_instance.cpp
+++ b/src/libsession/supply_instance.cpp
@@ -42,7 +42,7 @@
     this->mirror = std::make_shared<StoreMirror>(this->fleet.context,
         StoreMirror::Parts { store, this->relay, this->freshness, this->ownProcess, budget, offset },
         StoreMirror::Hooks {
-            [this] { this->publish(); }, [&sources = this->fleet.planOf(this->number)] { return sources; } });
+            [this] { this->publish(); }, [] {}, [&sources = this->fleet.planOf(this->number)] { return sources; } });
 }
 
 // Stands for building the view in use from the copy.
--- a/src/standin/kv_service.cpp
+++ b/src/standin/kv_service.cpp
@@ -230,6 +230,12 @@
     co_return result;
 }
 
+asio::awaitable<void> KvService::sleepFor(std::chrono::milliseconds time)
+{
+    asio::steady_timer timer(this->context, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
 asio::awaitable<KvService::Response> KvService::handle(std::string target, std::string body)
 {
     std::string path = target.substr(0, target.find('?'));
@@ -264,6 +270,7 @@
         this->state.leases[++this->state.nextLease] = { duration, std::chrono::steady_clock::now() + duration };
         result.body["lease"] = this->state.nextLease;
         result.body["ttlMs"] = json::parse(body).at("ttlMs");
+        co_await this->sleepFor(this->leaseGrantDelay);
         co_return result;
     }
     if (path.starts_with("/api/kv-keep/")) {
@@ -274,8 +281,7 @@
         co_return result;
     }
     if (path.starts_with("/api/kv-lease-end/")) {
-        asio::steady_timer timer(this->context, this->leaseEndDelay);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await this->sleepFor(this->leaseEndDelay);
         this->endLease(trailingNumber(path));
         co_return result;
     }
--- a/src/standin/kv_service.h
+++ b/src/standin/kv_service.h
@@ -40,6 +40,8 @@
     void setUnavailable(bool unavailable) { this->unavailable = unavailable; }
     /// Delays calls that end a lease, and their effect, by this time.
     void setLeaseEndDelay(std::chrono::milliseconds delay) { this->leaseEndDelay = delay; }
+    /// Delays the replies to calls that grant a lease by this time.
+    void setLeaseGrantDelay(std::chrono::milliseconds delay) { this->leaseGrantDelay = delay; }
     /// Fencing tokens received with promotions so far, oldest first, including those answered with status 503.
     const std::vector<std::int64_t>& fencingTokens() const { return this->receivedTokens; }
 
@@ -78,6 +80,7 @@
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket);
     boost::asio::awaitable<Response> handle(std::string target, std::string body);
+    boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     boost::asio::awaitable<Response> watch(std::map<std::string, std::string> query);
     Response range(const std::string& prefix) const;
     Response transact(const boost::json::object& request);
@@ -96,6 +99,7 @@
     std::int64_t era = 0;
     std::vector<std::int64_t> receivedTokens;
     std::chrono::milliseconds leaseEndDelay { 0 };
+    std::chrono::milliseconds leaseGrantDelay { 0 };
     bool unavailable = false;
 };
 
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -209,7 +209,7 @@
         this->settingsPaths.push_back(path);
         this->instances.push_back(
             std::make_unique<Process>(std::vector<std::string> { CATKINLOCK_BINARY, "front", "--settings", path }));
-        ASSERT_FALSE(this->instances.back()->awaitJsonLine("ready").empty());
+        ASSERT_FALSE(this->instances.back()->awaitJsonLine("ready").empty()) << this->instances.back()->output();
     }
 
     std::string storeAddress;
@@ -392,6 +392,19 @@
     });
 }
 
+// An instance whose registration takes long does not report that it is ready before.
+TEST(Sessions, AnInstanceThatReportsReadyAcceptsSessions)
+{
+    TestFleet fleet;
+    fleet.instances[0]->kill();
+    fleet.runOnStandInThread([&] {
+        fleet.store->erase("catkinlock/instance/i0");
+        fleet.store->setLeaseGrantDelay(std::chrono::milliseconds(1000));
+    });
+    fleet.restartInstance(0);
+    EXPECT_EQ(LineCaller(fleet.callerAddresses[0], "primary-db", "key-1").openResponse, "READY I -\r\n");
+}
+
 // The members reply to nothing from the promotion until the instance that ordered it is killed, so it can't finish.
 TEST(Sessions, APromotedMemberStaysPrimaryWhenTheLeaderDiesRightAfterItsOrder)
 {
@@ -407,6 +420,8 @@
     });
     LineCaller first(fleet.callerAddresses[0], "primary-db", "key-1");
     LineCaller second(fleet.callerAddresses[1], "primary-db", "key-1");
+    ASSERT_TRUE(first.openResponse.starts_with("READY")) << fleet.instances[0]->output();
+    ASSERT_TRUE(second.openResponse.starts_with("READY")) << fleet.instances[1]->output();
     for (int i = 0; i < maxFailoverAttempts && !promoted; ++i) {
         first.run("WRITE seat lost");
         second.run("WRITE seat lost");
