Refill only workspaces that have requests

Change: an account is among the active ones from its first request until it has been idle. A request that arrives while the account is taken out is seen by one side or the other. Evidence: admission_test (4 of 4; the new test passed before as well, it guards the change).

--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -98,6 +98,8 @@
         co_return tl::unexpected(notRun("unknown_workspace", "this instance has no rate for the workspace yet"));
     std::shared_ptr<TokenReserve> reserve = found->second;
     ++reserve->arrivals;
+    if (!reserve->active.load() && !reserve->active.exchange(true))
+        asio::post(this->control, [self, workspace] { self->activate(workspace); });
     if (reserve->take()) {
         ++reserve->admitted;
         ++this->admittedCount;
@@ -209,12 +211,8 @@
         timer.expires_after(refillInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         TimePoint now = Clock::now();
-        for (auto& [name, account] : this->accounts) {
-            bool idle = account->reserve->arrivals.load() == account->countedArrivals
-                && account->demand < idleDemandPerSecond;
-            bool expired = account->bucket.validUntil() <= now;
-            if (idle && !expired)
-                continue;
+        std::erase_if(this->activeAccounts, [this](const auto& item) { return this->isIdle(*item.second); });
+        for (auto& [name, account] : this->activeAccounts) {
             this->refill(*account, now);
             this->requestTokens(name, *account, now);
             this->reportRefusals(name, *account, now);
@@ -222,6 +220,26 @@
     }
 }
 
+// Called on the control thread at the first request of a workspace, and at the first one after it was idle.
+void Admission::activate(const std::string& workspace)
+{
+    auto found = this->accounts.find(workspace);
+    if (found != this->accounts.end())
+        this->activeAccounts.insert(*found);
+}
+
+// Marks the account as not active if it has had no requests for a while.
+bool Admission::isIdle(Account& account) const
+{
+    TokenReserve& reserve = *account.reserve;
+    if (reserve.arrivals.load() != account.countedArrivals || account.demand >= idleDemandPerSecond)
+        return false;
+    reserve.active.store(false);
+    // A request that arrived meanwhile may have found the account active, and then has not called `activate`.
+    bool arrived = reserve.arrivals.load() != account.countedArrivals;
+    return !arrived || reserve.active.exchange(true);
+}
+
 // Writes at most one log line per `reportInterval` and workspace, however many requests were refused.
 void Admission::reportRefusals(const std::string& workspace, Account& account, TimePoint now)
 {
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -91,6 +91,8 @@
         std::atomic<std::uint32_t> maxWaiting { 1 };
         std::atomic<std::uint64_t> admitted { 0 };
         std::atomic<std::uint64_t> refused { 0 };
+        // True while the account is among `activeAccounts`, or about to be.
+        std::atomic<bool> active { false };
 
         // Takes one token. False if there is none, or if the tokens are no longer valid.
         bool take();
@@ -99,6 +101,8 @@
     using TokenReserves = std::map<std::string, std::shared_ptr<TokenReserve>>;
 
     boost::asio::awaitable<void> runRefillLoop();
+    void activate(const std::string& workspace);
+    bool isIdle(Account&) const;
     void reportRefusals(const std::string& workspace, Account&, TimePoint now);
     void refill(Account&, TimePoint now);
     std::vector<std::string> otherHolders(const Account&) const;
@@ -115,6 +119,9 @@
     RcuSnapshot<TokenReserves> reserves;
     // By workspace name; includes workspaces that were deleted from the tables.
     std::map<std::string, std::shared_ptr<Account>> accounts;
+    // Those with requests lately, by workspace name. Only these are refilled at the interval, so that workspaces
+    // without requests cost nothing.
+    std::map<std::string, std::shared_ptr<Account>> activeAccounts;
     std::set<std::uint32_t> heldSlots;
     TimePoint heldSlotsValidUntil;
     std::uint32_t slotCount = 1;
--- a/src/libserver/admission_test.cpp
+++ b/src/libserver/admission_test.cpp
@@ -104,6 +104,26 @@
     EXPECT_EQ(admitted, 20);
 }
 
+// Load: the same again after a pause, in which the workspace is no longer refilled at the interval.
+TEST(Admission, AWorkspaceIsServedAtItsRateAgainAfterItWasIdle)
+{
+    // Longer than it takes the demand to fall below that of an idle workspace.
+    constexpr Milliseconds idleTime { 3000 };
+    Fleet fleet;
+    int admitted = 0;
+    fleet.run([&]() -> asio::awaitable<void> {
+        for (int i = 0; i < 10; ++i)
+            co_await fleet.a.admission->admit("tours", Clock::now() + std::chrono::seconds(5));
+        co_await fleet.pause(idleTime);
+        for (int i = 0; i < 100; ++i) {
+            auto taken = co_await fleet.a.admission->admit("tours", Clock::now() + std::chrono::seconds(5));
+            admitted += taken.has_value();
+            co_await fleet.pause(Milliseconds(1000 / rate));
+        }
+    });
+    EXPECT_EQ(admitted, 100);
+}
+
 // Load: far more than the rate at all three instances. Whatever they grant each other, the total must not exceed rate
 // and burst.
 TEST(Admission, AllTogetherStayWithinRateAndBurst)
