--- a/src/libsession/slot_directory.cpp
+++ b/src/libsession/slot_directory.cpp
@@ -3,6 +3,8 @@
 #include "libserver/slot_keeper.h"
 #include <algorithm>
 #include <boost/json.hpp>
+#include <set>
+#include <string_view>
 
 namespace catkinlock {
 
@@ -74,11 +76,12 @@
 std::vector<InstanceRecord> recordsOfExpired(
     const std::vector<InstanceRecord>& known, const std::vector<InstanceRecord>& current, std::uint64_t version)
 {
+    std::set<std::string_view> listed;
+    for (const InstanceRecord& record : current)
+        listed.insert(record.name);
     std::vector<InstanceRecord> expired;
     for (InstanceRecord record : known) {
-        bool listed = std::any_of(current.begin(), current.end(),
-            [&record](const InstanceRecord& entry) { return entry.name == record.name; });
-        if (listed)
+        if (listed.count(record.name))
             continue;
         record.version = version;
         record.state = InstanceState::Dead;
