Sample the service level every 5 s and for each page of metrics

Cause: counters of all routes and workspaces were sampled five times a second for windows of minutes.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -42,6 +42,8 @@
 
     // Between two runs of the maintenance on each thread.
     constexpr Milliseconds maintenanceInterval { 200 };
+    // Between two samples of the counters of all routes and workspaces, which cover windows of minutes.
+    constexpr Milliseconds levelSampleInterval { 5000 };
     // The instance reports that it is not ready once less than this fraction of its view's maximum age remains, so that
     // the balancer sends new callers to other instances.
     constexpr double minRemainingAgeFraction = 0.15;
@@ -108,6 +110,7 @@
     bool isReady() const;
     Page readyPage(const std::string& path) const;
     Page metricsPage() const;
+    void sampleLevelIfDue(TimePoint now);
     void reportTraffic(TimePoint now);
     asio::awaitable<void> runMaintenance();
     asio::awaitable<void> runRequestMaintenance();
@@ -158,6 +161,7 @@
     // Number of statements at the last request maintenance.
     std::uint64_t lastStatementCount = 0;
     TimePoint trafficReportedAt = Clock::now();
+    TimePoint levelSampledAt;
     std::thread requestThread;
 };
 
@@ -455,6 +459,7 @@
 Page FrontInstance::Parts::metricsPage() const
 {
     auto count = [](auto value) { return static_cast<double>(value); };
+    this->level->sample(Clock::now());
     TokenTraffic tokens = this->admission->tokenTraffic();
     std::vector<Metric> metrics {
         { "sessions", "Open sessions", count(this->sessions->sessions.load()) },
@@ -501,6 +506,14 @@
             { "sessions", fmt::format("{}", this->sessions->sessions.load()) } });
 }
 
+void FrontInstance::Parts::sampleLevelIfDue(TimePoint now)
+{
+    if (now - this->levelSampledAt < levelSampleInterval)
+        return;
+    this->levelSampledAt = now;
+    this->level->sample(now);
+}
+
 asio::awaitable<void> FrontInstance::Parts::runMaintenance()
 {
     asio::steady_timer timer(this->control);
@@ -510,7 +523,7 @@
         if (this->builder.hasPendingRemovals())
             this->publishView();
         this->records->check();
-        this->level->sample(Clock::now());
+        this->sampleLevelIfDue(Clock::now());
         this->reportTraffic(Clock::now());
         if (this->lifecycle.state() == InstanceLifecycle::State::Serving || this->promoter->isLeader())
             this->promoter->checkGroups(Clock::now());
