Keep the state of the message code for each thread

Change: algorithm and state are kept for a thread. The library's failure ends the process in place of an empty code. Evidence: digest_test with the cases of RFC 4231 and empty keys (a null key would be that of the last call).

--- a/src/libcore/digest.cpp
+++ b/src/libcore/digest.cpp
@@ -1,9 +1,11 @@
 #include "catkinlock/digest.h"
 
 #include <cstdlib>
+#include <memory>
+#include <openssl/core_names.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
+#include <openssl/params.h>
 #include <openssl/rand.h>
 #include <openssl/sha.h>
 
@@ -25,6 +27,27 @@
 
     const unsigned char* bytes(std::string_view text) { return reinterpret_cast<const unsigned char*>(text.data()); }
 
+    // State for HMAC with SHA-256, kept for a thread because looking up the algorithm takes longer than a short
+    // message.
+    class HmacContext {
+    public:
+        HmacContext()
+            : algorithm(EVP_MAC_fetch(nullptr, "HMAC", nullptr), EVP_MAC_free)
+            , context(EVP_MAC_CTX_new(this->algorithm.get()), EVP_MAC_CTX_free)
+        {
+            char digestName[] = "SHA256";
+            OSSL_PARAM parameters[] = { OSSL_PARAM_construct_utf8_string(OSSL_MAC_PARAM_DIGEST, digestName, 0),
+                OSSL_PARAM_construct_end() };
+            if (!this->context || !EVP_MAC_CTX_set_params(this->context.get(), parameters))
+                std::abort();
+        }
+        EVP_MAC_CTX* get() const { return this->context.get(); }
+
+    private:
+        std::unique_ptr<EVP_MAC, decltype(&EVP_MAC_free)> algorithm;
+        std::unique_ptr<EVP_MAC_CTX, decltype(&EVP_MAC_CTX_free)> context;
+    };
+
 } // namespace
 
 std::string sha256Hex(std::string_view data)
@@ -36,9 +59,17 @@
 
 std::string hmacSha256(std::string_view data, std::string_view secret)
 {
+    thread_local HmacContext context;
     unsigned char digest[EVP_MAX_MD_SIZE];
-    unsigned size = 0;
-    HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()), bytes(data), data.size(), digest, &size);
+    std::size_t size = 0;
+    // A null pointer would stand for the key of the last call.
+    std::string_view key = secret.empty() ? std::string_view("") : secret;
+    bool computed = EVP_MAC_init(context.get(), bytes(key), key.size(), nullptr)
+        && EVP_MAC_update(context.get(), bytes(data), data.size())
+        && EVP_MAC_final(context.get(), digest, &size, sizeof digest);
+    // Without a code, messages would be sent unsigned, and callers have no safe way to continue.
+    if (!computed)
+        std::abort();
     return std::string(reinterpret_cast<char*>(digest), size);
 }
 
