--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <future>
 #include <gtest/gtest.h>
+#include <random>
 #include <thread>
 
 using namespace catkinlock;
@@ -34,12 +35,21 @@
 constexpr int manyConnections = 40;
 constexpr int fewConnections = 5;
 
-// A loopback address with a port that was free when it was chosen.
+// A loopback address with a port that was free when it was chosen. The port is below those that the kernel assigns to
+// connections, one of which could otherwise take it before the instance listens there.
 std::string freeAddress()
 {
+    static std::mt19937 random { std::random_device {}() };
+    std::uniform_int_distribution<unsigned short> ports(16'000, 32'000);
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port());
+    for (;;) {
+        asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), ports(random));
+        asio::ip::tcp::acceptor acceptor(context, endpoint.protocol());
+        boost::system::error_code error;
+        acceptor.bind(endpoint, error);
+        if (!error)
+            return fmt::format("127.0.0.1:{}", endpoint.port());
+    }
 }
 
 // The operators' configuration: one route of each kind, one service and one workspace with these keys, given as JSON
