Wait longer for a token just after the start, ask silent holders again sooner

Cause: after a loss of power of all, instances are ready before the holders of the slots are. Change: the delay after a lost request starts at 60 ms and doubles up to 1 s. For 1.5 s after its start an instance lets a statement wait up to half of its time, at most 600 ms; afterwards all is as before. Evidence: TokenRequester.AHolderThatDoesNotReplyIsAskedAgainSoonAndThenLessAndLess (before: asked again after 1,060 ms, by reading), Admission.ARequestWaitsLongerAtTheStartForHoldersThatStartToo; conservation tests unchanged and green.

--- a/src/include/catkinlock/token_requester.h
+++ b/src/include/catkinlock/token_requester.h
@@ -57,13 +57,20 @@
         std::int64_t milliTokens;
     };
 
+    struct Holder {
+        // Earliest time of the next request.
+        TimePoint retryAt;
+        // Delay after the last lost request; 0 after a reply.
+        Milliseconds lostDelay { 0 };
+    };
+
     void dropLost(TimePoint now);
     bool mayAsk(const std::string& holder, TimePoint now) const;
 
     // Requests that await a reply, by the holder's address.
     std::map<std::string, PendingRequest> pending;
-    // Earliest time of the next request to a holder that granted nothing or did not reply.
-    std::map<std::string, TimePoint> retryAt;
+    // Holders that granted nothing or did not reply, by address.
+    std::map<std::string, Holder> delayedHolders;
     // Index among the holders, modulo their number, of the one that is asked first. It differs between instances, so
     // that they do not all ask one holder, and advances after a grant of less than one token and after a lost request.
     std::size_t firstHolder = 0;
--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -16,8 +16,10 @@
     constexpr std::size_t maxPending = 4;
     // Delay before the next request to a holder that granted less than one token.
     constexpr Milliseconds emptyGrantRetryDelay { 100 };
-    // Delay before the next request to a holder that did not reply in time.
-    constexpr Milliseconds unresponsiveRetryDelay { 1000 };
+    // Delay before the next request to a holder that did not reply in time. It doubles with each further one, up to the
+    // maximum: the holder may have been about to start, or it may be gone.
+    constexpr Milliseconds minUnresponsiveDelay { 60 };
+    constexpr Milliseconds maxUnresponsiveDelay { 1000 };
 
     // Holders grant whole tokens only. What is missing is therefore rounded up, since a request for less than one token
     // would get nothing. A part of a token is not prefetched, since the rest of that token would mostly expire unspent.
@@ -35,7 +37,9 @@
     std::erase_if(this->pending, [this, now](const auto& item) {
         bool timedOut = now - item.second.sentAt > replyTimeout;
         if (timedOut) {
-            this->retryAt[item.first] = item.second.sentAt + replyTimeout + unresponsiveRetryDelay;
+            Holder& holder = this->delayedHolders[item.first];
+            holder.lostDelay = std::clamp(holder.lostDelay * 2, minUnresponsiveDelay, maxUnresponsiveDelay);
+            holder.retryAt = item.second.sentAt + replyTimeout + holder.lostDelay;
             ++this->counts.lost;
             ++this->firstHolder;
         }
@@ -45,8 +49,8 @@
 
 bool TokenRequester::mayAsk(const std::string& holder, TimePoint now) const
 {
-    auto found = this->retryAt.find(holder);
-    return !this->pending.count(holder) && (found == this->retryAt.end() || found->second <= now);
+    auto found = this->delayedHolders.find(holder);
+    return !this->pending.count(holder) && (found == this->delayedHolders.end() || found->second.retryAt <= now);
 }
 
 bool TokenRequester::tokensMayArrive(const std::vector<std::string>& holders, TimePoint now) const
@@ -92,8 +96,10 @@
     bool empty = milliTokens < milliPerToken;
     ++(empty ? this->counts.empty : this->counts.granted);
     if (empty) {
-        this->retryAt[found->first] = now + emptyGrantRetryDelay;
+        this->delayedHolders[found->first] = { now + emptyGrantRetryDelay };
         ++this->firstHolder;
+    } else {
+        this->delayedHolders.erase(found->first);
     }
     this->pending.erase(found);
     return sentAt;
--- a/src/libcore/token_requester_test.cpp
+++ b/src/libcore/token_requester_test.cpp
@@ -274,3 +274,20 @@
         EXPECT_GE(servedShare({ rate, rate, rate * 2.0 }), minServedShare) << "rate " << rate;
     }
 }
+
+// A holder that starts replies soon after it was first asked; one that is gone must not delay others again and again.
+TEST(TokenRequester, AHolderThatDoesNotReplyIsAskedAgainSoonAndThenLessAndLess)
+{
+    TokenRequester requester;
+    TimePoint start { std::chrono::hours(1) };
+    std::vector<int> askedAtMs;
+    for (int ms = 0; ms < 5000; ++ms) {
+        if (requester.next(milliPerToken, 0, { "holder" }, 1000 + ms, start + Milliseconds(ms)))
+            askedAtMs.push_back(ms);
+    }
+    ASSERT_GE(askedAtMs.size(), 4u);
+    EXPECT_LE(askedAtMs[1], 150);
+    EXPECT_LE(askedAtMs[2], 400);
+    EXPECT_LE(askedAtMs.size(), 9u);
+    EXPECT_GE(askedAtMs.back() - askedAtMs[askedAtMs.size() - 2], 1000);
+}
--- a/src/libserver/admission.cpp
+++ b/src/libserver/admission.cpp
@@ -19,6 +19,10 @@
     constexpr Milliseconds refillInterval { 10 };
     // Maximum time that a request waits for a token.
     constexpr Milliseconds maxTokenWait { 150 };
+    // The same for this long after the start. After a loss of power, holders of slots start with their tokens at zero
+    // at about the same time, so that a rate that is not used up seems to be.
+    constexpr Milliseconds startPeriod { 1500 };
+    constexpr Milliseconds maxTokenWaitAtStart { 600 };
     // Interval at which a waiting request checks for a token.
     constexpr Milliseconds tokenPollInterval { 4 };
     // Maximum number of requests of one workspace that may wait here while other holders may still grant tokens.
@@ -89,7 +93,15 @@
 {
 }
 
-asio::awaitable<tl::expected<void, Refusal>> Admission::admit(std::string workspace, TimePoint deadline)
+TimePoint Admission::endOfTokenWait(TimePoint deadline, TimePoint deadlineAtStart) const
+{
+    TimePoint now = Clock::now();
+    TimePoint end = std::min(deadline, now + maxTokenWait);
+    return this->isStarting(now) ? std::max(end, std::min(deadlineAtStart, now + maxTokenWaitAtStart)) : end;
+}
+
+asio::awaitable<tl::expected<void, Refusal>> Admission::admit(
+    std::string workspace, TimePoint deadline, TimePoint deadlineAtStart)
 {
     auto self = this->shared_from_this();
     auto current = this->reserves.read();
@@ -105,9 +117,11 @@
         ++this->admittedCount;
         co_return tl::expected<void, Refusal> {};
     }
-    TimePoint end = std::min(deadline, Clock::now() + maxTokenWait);
-    // Requests beyond this limit are refused at once, since they could not expect a token within `maxTokenWait`.
-    bool mayWait = ++reserve->waiting <= reserve->maxWaiting;
+    TimePoint end = this->endOfTokenWait(deadline, deadlineAtStart);
+    // Requests beyond this limit are refused at once, since they could not expect a token within their wait. At the
+    // start, when the holders are not known yet, that can't be told.
+    std::uint32_t maxWaiting = this->isStarting(Clock::now()) ? maxWaitingRequests : reserve->maxWaiting.load();
+    bool mayWait = ++reserve->waiting <= maxWaiting;
     if (mayWait)
         asio::post(this->control, [self, workspace] { self->handleShortage(workspace); });
     bool taken = false;
@@ -198,6 +212,7 @@
 
 void Admission::start()
 {
+    this->startEndsAt.store(Clock::now() + startPeriod);
     auto self = this->shared_from_this();
     asio::co_spawn(
         this->control, [self] { return self->runRefillLoop(); }, asio::detached);
--- a/src/libserver/admission.h
+++ b/src/libserver/admission.h
@@ -46,9 +46,12 @@
         std::shared_ptr<Membership>);
 
     /// Takes one token of the workspace. If there is none, waits for one up to a fixed limit, at most until `deadline`.
-    /// Refuses with "rate_exceeded" if no token became available, or at once if too many requests already wait, and
-    /// with "unknown_workspace" if the tables have no such workspace. May be awaited on any thread.
-    boost::asio::awaitable<tl::expected<void, Refusal>> admit(std::string workspace, TimePoint deadline);
+    /// Shortly after the start, when the holders of the rate may just be starting too, the limit is longer and
+    /// `deadlineAtStart` counts if it is later. Refuses with "rate_exceeded" if no token became available, or at once
+    /// if too many requests already wait, and with "unknown_workspace" if the tables have no such workspace. May be
+    /// awaited on any thread.
+    boost::asio::awaitable<tl::expected<void, Refusal>> admit(
+        std::string workspace, TimePoint deadline, TimePoint deadlineAtStart = TimePoint());
 
     /// Returns the token of an operation that had no effect. Ignored if the tables have no such workspace. May be
     /// called from any thread.
@@ -100,6 +103,8 @@
     struct Account;
     using TokenReserves = std::map<std::string, std::shared_ptr<TokenReserve>>;
 
+    bool isStarting(TimePoint now) const { return now < this->startEndsAt.load(); }
+    TimePoint endOfTokenWait(TimePoint deadline, TimePoint deadlineAtStart) const;
     boost::asio::awaitable<void> runRefillLoop();
     void activate(const std::string& workspace);
     bool isIdle(Account&) const;
@@ -127,6 +132,7 @@
     std::uint32_t slotCount = 1;
     std::uint64_t lastRequestId;
     bool stopped = false;
+    std::atomic<TimePoint> startEndsAt { TimePoint() };
     std::atomic<std::uint64_t> admittedCount { 0 };
     std::atomic<std::uint64_t> refusedCount { 0 };
 };
--- a/src/libserver/admission_test.cpp
+++ b/src/libserver/admission_test.cpp
@@ -124,6 +124,38 @@
     EXPECT_EQ(admitted, 100);
 }
 
+// Load: requests at an instance that has just started, before any holder has its slots, as after a loss of power.
+TEST(Admission, ARequestWaitsLongerAtTheStartForHoldersThatStartToo)
+{
+    asio::io_context context;
+    Instance holder(context, "holder");
+    Instance other(context, "other");
+    bool admittedAtStart = false;
+    bool admittedLater = true;
+    standin::runToEnd(context, [&]() -> asio::awaitable<void> {
+        auto pause = [&](Milliseconds time) -> asio::awaitable<void> {
+            asio::steady_timer timer(context, time);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        };
+        asio::steady_timer slots(context, Milliseconds(200));
+        slots.async_wait([&](const boost::system::error_code&) {
+            holder.setSlots({ 0, 1, 2, 3, 4, 5, 6, 7 });
+            other.addPeer(holder);
+        });
+        auto taken = co_await other.admission->admit(
+            "tours", Clock::now() + Milliseconds(20), Clock::now() + Milliseconds(500));
+        admittedAtStart = taken.has_value();
+        holder.setSlots({});
+        co_await pause(Milliseconds(2000));
+        TimePoint askedAt = Clock::now();
+        auto refused
+            = co_await other.admission->admit("tours", askedAt + Milliseconds(20), askedAt + Milliseconds(500));
+        admittedLater = refused.has_value() || Clock::now() > askedAt + Milliseconds(400);
+    });
+    EXPECT_TRUE(admittedAtStart);
+    EXPECT_FALSE(admittedLater);
+}
+
 // Load: far more than the rate at all three instances. Whatever they grant each other, the total must not exceed rate
 // and burst.
 TEST(Admission, AllTogetherStayWithinRateAndBurst)
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -231,7 +231,9 @@
     bool startsNewOperation = this->runner.startsOperation(statement) && call->workspace != "-";
     if (startsNewOperation) {
         TimePoint waitUntil = call->endOfCapacityWait(call->arrivedAt);
-        auto admitted = co_await this->context->admission->admit(call->workspace, waitUntil);
+        // Leaves half of the time for the statement itself.
+        TimePoint waitUntilAtStart = call->arrivedAt + (call->deadline - call->arrivedAt) / 2;
+        auto admitted = co_await this->context->admission->admit(call->workspace, waitUntil, waitUntilAtStart);
         if (!admitted) {
             TargetReply refusal;
             refusal.error = StatementError::Busy;
