--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -5,6 +5,7 @@
 #include "standin/line_caller.h"
 #include "standin/line_member.h"
 #include "standin/process.h"
+#include <array>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <csignal>
@@ -12,7 +13,6 @@
 #include <fstream>
 #include <future>
 #include <gtest/gtest.h>
-#include <random>
 #include <thread>
 
 using namespace catkinlock;
@@ -35,21 +35,18 @@
 constexpr int manyConnections = 40;
 constexpr int fewConnections = 5;
 
-// A loopback address with a port that was free when it was chosen. The port is below those that the kernel assigns to
-// connections, one of which could otherwise take it before the instance listens there.
-std::string freeAddress()
+// Different loopback addresses with ports that were free when they were chosen.
+std::array<std::string, 3> freeAddresses()
 {
-    static std::mt19937 random { std::random_device {}() };
-    std::uniform_int_distribution<unsigned short> ports(16'000, 32'000);
     asio::io_context context;
-    for (;;) {
-        asio::ip::tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"), ports(random));
-        asio::ip::tcp::acceptor acceptor(context, endpoint.protocol());
-        boost::system::error_code error;
-        acceptor.bind(endpoint, error);
-        if (!error)
-            return fmt::format("127.0.0.1:{}", endpoint.port());
+    std::vector<asio::ip::tcp::acceptor> open;
+    std::array<std::string, 3> addresses;
+    for (std::string& address : addresses) {
+        // All are kept open to the end: a port that was closed again may be chosen a second time.
+        open.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        address = fmt::format("127.0.0.1:{}", open.back().local_endpoint().port());
     }
+    return addresses;
 }
 
 // The operators' configuration: one route of each kind, one service and one workspace with these keys, given as JSON
@@ -209,13 +206,14 @@
 
     void startInstance(int i)
     {
-        this->callerAddresses.push_back(freeAddress());
+        auto [callers, ready, peer] = freeAddresses();
+        this->callerAddresses.push_back(callers);
         std::string path = fmt::format("{}catkinlock_sessions_{}_{}.toml", testing::TempDir(), getpid(), i);
         std::ofstream(path) << fmt::format("[instance]\nname = \"i{}\"\ndata_centre = \"a\"\ncallers = \"{}\"\n"
                                            "ready = \"{}\"\nready_path = \"/ready\"\npeer = \"{}\"\ndrain_seconds = 2\n"
                                            "[platform]\nadapter = \"lines\"\nstore = \"{}\"\npromotions = \"{}\"\n"
                                            "[fleet]\nsecret = \"a secret of the test fleet\"\n",
-            i, this->callerAddresses.back(), freeAddress(), freeAddress(), this->storeAddress, this->storeAddress);
+            i, callers, ready, peer, this->storeAddress, this->storeAddress);
         this->settingsPaths.push_back(path);
         this->instances.push_back(
             std::make_unique<Process>(std::vector<std::string> { CATKINLOCK_BINARY, "front", "--settings", path }));
