Compare slots with the fair share of the moment again

Found by reading: compared with a share computed before a claim, which suspends; if the fleet shrank meanwhile, releaseSurplus, which computes the share anew, would have gone past the end of its slots (its count is unsigned).

--- a/src/libserver/slot_keeper.cpp
+++ b/src/libserver/slot_keeper.cpp
@@ -126,14 +126,13 @@
         if (!takeoverDone)
             takeoverDone = co_await this->takeOverEarlierSlotsAtStart();
         this->followFreeSlots();
-        std::size_t share = this->fairShare();
-        bool missing = takeoverDone && this->slots.size() < share;
+        bool missing = takeoverDone && this->slots.size() < this->fairShare();
         if (missing && this->claims.isDue(Clock::now())) {
             std::size_t before = this->slots.size();
             co_await this->claimMissing();
             this->claims.recordRound(this->slots.size() > before, Clock::now());
         }
-        if (this->slots.size() > share)
+        if (this->slots.size() > this->fairShare())
             co_await this->releaseSurplus();
         timer.expires_after(takeoverDone ? maintenanceInterval : startupInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
