Request changes from the store in one place

requestFromFurtherSources started the same request as requestChangesNow, which does nothing before the first read; an overdue view has been read. Behaviour is unchanged: relay_test, store_restore_test, view_supply_test, view_users_test.

--- a/src/libsession/store_mirror.cpp
+++ b/src/libsession/store_mirror.cpp
@@ -186,8 +186,7 @@
     if (asksStore && attempt)
         this->parts.store->closeIdleConnections();
     if (asksStore)
-        spawn(this->context,
-            [self = this->shared_from_this()] { return self->readAgainIfNeeded(self->requestFromStore(probeWait)); });
+        this->requestChangesNow();
     this->requestFromPeers(attempt);
 }
 
