--- a/src/include/catkinlock/token_requester.h
+++ b/src/include/catkinlock/token_requester.h
@@ -71,10 +71,10 @@
     std::map<std::string, PendingRequest> pending;
     // Holders that granted nothing or did not reply, by address.
     std::map<std::string, Holder> delayedHolders;
-    // Index among the holders, modulo their number, of the one that is asked first. It differs between instances, so
-    // that they do not all ask one holder, and advances after a grant of less than one token and after a lost request.
-    std::size_t firstHolder = 0;
-    bool hasAsked = false;
+    // Index among the holders, modulo their number, of the one that is asked first; none before the first request. It
+    // differs between instances, so that they do not all ask one holder, and advances after a grant of less than one
+    // token and after a lost request.
+    std::optional<std::size_t> firstHolder;
     TokenReplyCounts counts;
 };
 
--- a/src/libcore/token_requester.cpp
+++ b/src/libcore/token_requester.cpp
@@ -2,7 +2,6 @@
 
 #include "catkinlock/share_bucket.h"
 #include <algorithm>
-#include <utility>
 
 namespace catkinlock {
 
@@ -41,7 +40,7 @@
             holder.lostDelay = std::clamp(holder.lostDelay * 2, minUnresponsiveDelay, maxUnresponsiveDelay);
             holder.retryAt = item.second.sentAt + replyTimeout + holder.lostDelay;
             ++this->counts.lost;
-            ++this->firstHolder;
+            ++*this->firstHolder;
         }
         return timedOut;
     });
@@ -74,10 +73,10 @@
     if (this->pending.size() >= maxPending)
         return std::nullopt;
     std::int64_t wanted = wholeTokens(missing, prefetch);
-    if (!std::exchange(this->hasAsked, true))
+    if (!this->firstHolder)
         this->firstHolder = id;
     for (std::size_t i = 0; i < holders.size(); ++i) {
-        const std::string& holder = holders[(this->firstHolder + i) % holders.size()];
+        const std::string& holder = holders[(*this->firstHolder + i) % holders.size()];
         if (!this->mayAsk(holder, now))
             continue;
         this->pending[holder] = { id, now, wanted };
@@ -97,7 +96,7 @@
     ++(empty ? this->counts.empty : this->counts.granted);
     if (empty) {
         this->delayedHolders[found->first] = { now + emptyGrantRetryDelay };
-        ++this->firstHolder;
+        ++*this->firstHolder;
     } else {
         this->delayedHolders.erase(found->first);
     }
