--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -60,6 +60,8 @@
             config["services"].as_array().push_back(service);
             config["routes"].as_array().push_back(route("stock", "primary", this->second->service));
         }
+        if (this->changeConfig)
+            this->changeConfig(config);
         for (const char* id : { "i-m1", "i-m2", "i-m3" })
             this->group.add(id);
         this->store->put("op/config", json::serialize(config));
@@ -108,6 +110,8 @@
     Group group;
     std::shared_ptr<Store> store;
     std::vector<std::shared_ptr<Front>> fronts;
+    // Changes the configuration before it is written.
+    std::function<void(json::object&)> changeConfig;
     // Null if there is one group only.
     std::unique_ptr<Group> second;
     // Gives the address at which a front reaches the promotion call; the store's if it is empty.
--- a/review/standin/two_dark.cpp
+++ b/review/standin/two_dark.cpp
@@ -78,8 +78,10 @@
     if (!co_await fleet.awaitReady())
         fleet.end(2);
     unsigned seed = 1;
-    for (const auto& front : fleet.fronts)
-        start(fleet.context, [&fleet, front, &told, seed] { return runClient(fleet, front, told, seed); }), ++seed;
+    for (const auto& front : fleet.fronts) {
+        start(fleet.context, [&fleet, front, &told, seed] { return runClient(fleet, front, told, seed); });
+        ++seed;
+    }
     co_await pause(Ms(4000));
     for (int round = 0; round < rounds; ++round) {
         if (trouble)
