--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p build
-for name in two_dark late_order drain_tx; do
+for name in two_dark late_order drain_tx quota; do
     g++ -std=c++20 -O1 -o "build/$name" "standin/$name.cpp" -pthread &
     compilers="$compilers $!"
 done
