--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/build/drain_tx ] && [ -x target/bin/catkinlock ] || exit 2
 folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
 timeout 118 review/build/drain_tx review/3/record.txt "$folder" "${TROUBLE:-1}"
 outcome=$?
-rm -rf "$folder"
 case $outcome in 0 | 1) exit $outcome ;; *) exit 2 ;; esac
