Give each test instance a loopback host of its own

Test instances got ports that were free when they were chosen, and lost them while they restarted: one could not bind a port that a connection or a play beside it had taken (bind_failed; two of the plays of LOST-HANDOVER). Each instance of each test process now has a host of its own in 127.0.0.0/8 and ports below the kernel's range for outgoing connections.

--- a/src/standin/front_fleet.cpp
+++ b/src/standin/front_fleet.cpp
@@ -1,29 +1,24 @@
 #include "standin/front_fleet.h"
 
-#include <array>
-#include <boost/asio.hpp>
 #include <fmt/format.h>
 #include <fstream>
 #include <unistd.h>
 
 namespace catkinlock::standin {
 
-namespace asio = boost::asio;
-
 namespace {
 
-    // Different loopback addresses with ports that were free when they were chosen.
-    std::array<std::string, 3> freeAddresses()
+    // Ports below the kernel's range for outgoing connections, so that no connection takes one while its instance is
+    // restarted.
+    constexpr int callerPort = 8465;
+    constexpr int readyPort = 8460;
+    constexpr int peerPort = 7560;
+
+    // A loopback host of its own for each instance of each test process.
+    std::string hostOf(std::size_t instance)
     {
-        asio::io_context context;
-        std::vector<asio::ip::tcp::acceptor> open;
-        std::array<std::string, 3> addresses;
-        for (std::string& address : addresses) {
-            // All are kept open to the end: a port that was closed again may be chosen a second time.
-            open.emplace_back(context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-            address = fmt::format("127.0.0.1:{}", open.back().local_endpoint().port());
-        }
-        return addresses;
+        auto process = static_cast<unsigned>(getpid());
+        return fmt::format("127.{}.{}.{}", 1 + process % 250, process / 250 % 250, instance + 1);
     }
 
 } // namespace
@@ -52,31 +47,47 @@
 
 bool FrontFleet::add()
 {
-    std::size_t i = this->processes.size();
-    auto [callers, ready, peer] = freeAddresses();
-    this->callerAddresses.push_back(callers);
-    std::string path = fmt::format("{}catkinlock_front_{}_{}.toml", this->folder, getpid(), i);
-    std::ofstream(path) << fmt::format("[instance]\nname = \"i{}\"\ndata_centre = \"a\"\ncallers = \"{}\"\n"
-                                       "ready = \"{}\"\nready_path = \"/ready\"\npeer = \"{}\"\ndrain_seconds = 2\n"
-                                       "[platform]\nadapter = \"lines\"\nstore = \"{}\"\npromotions = \"{}\"\n"
-                                       "[fleet]\nsecret = \"a secret of the test fleet\"\n",
-        i, callers, ready, peer, this->store, this->store);
-    this->settingsPaths.push_back(path);
-    this->processes.emplace_back();
-    return this->start(i);
+    this->launchNew();
+    return this->awaitReady(this->processes.size() - 1);
 }
 
 bool FrontFleet::restart(std::size_t i)
 {
     this->processes[i]->kill();
-    return this->start(i);
+    this->launch(i);
+    return this->awaitReady(i);
 }
 
-bool FrontFleet::start(std::size_t i)
+void FrontFleet::launchNew()
+{
+    this->addSettings();
+    this->processes.emplace_back();
+    this->launch(this->processes.size() - 1);
+}
+
+void FrontFleet::launch(std::size_t i)
 {
     this->processes[i] = std::make_unique<Process>(
         std::vector<std::string> { this->program, "front", "--settings", this->settingsPaths[i] });
-    return !this->processes[i]->awaitJsonLine("ready").empty();
+}
+
+bool FrontFleet::awaitReady(std::size_t i) { return !this->processes[i]->awaitJsonLine("ready").empty(); }
+
+void FrontFleet::addSettings()
+{
+    std::size_t i = this->settingsPaths.size();
+    std::string host = hostOf(i);
+    this->callerAddresses.push_back(fmt::format("{}:{}", host, callerPort));
+    this->readyAddresses.push_back(fmt::format("{}:{}", host, readyPort));
+    std::string path = fmt::format("{}catkinlock_front_{}_{}.toml", this->folder, getpid(), i);
+    std::ofstream(path) << fmt::format("[instance]\nname = \"i{}\"\ndata_centre = \"a\"\ncallers = \"{}\"\n"
+                                       "ready = \"{}\"\nready_path = \"/ready\"\npeer = \"{}:{}\"\n"
+                                       "drain_seconds = {}\n"
+                                       "[platform]\nadapter = \"lines\"\nstore = \"{}\"\npromotions = \"{}\"\n"
+                                       "[fleet]\nsecret = \"a secret of the test fleet\"\n",
+        i, this->callerAddresses[i], this->readyAddresses[i], host, peerPort, this->drainSeconds, this->store,
+        this->store);
+    this->settingsPaths.push_back(path);
 }
 
 } // namespace catkinlock::standin
--- a/src/standin/front_fleet.h
+++ b/src/standin/front_fleet.h
@@ -20,25 +20,36 @@
     /// settings files.
     FrontFleet(std::string program, std::string store, std::string folder);
 
+    /// Sets the drain time of the instances that are added from now on, in seconds.
+    void setDrainSeconds(int seconds) { this->drainSeconds = seconds; }
     /// Starts one more instance, "i0", "i1" and so on. False if it did not get ready.
     bool add();
+    /// Starts one more instance, and does not wait for it.
+    void launchNew();
+    /// Starts an instance that has ended again, and does not wait for it.
+    void launch(std::size_t);
     /// Ends an instance at once and starts it again. False if it did not get ready.
     bool restart(std::size_t);
     Process& process(std::size_t i) { return *this->processes[i]; }
     /// "ip:port" at which an instance accepts callers.
     const std::string& callerAddress(std::size_t i) const { return this->callerAddresses[i]; }
+    /// "ip:port" at which an instance reports whether it is ready, at the path "/ready".
+    const std::string& readyAddress(std::size_t i) const { return this->readyAddresses[i]; }
     std::size_t size() const { return this->processes.size(); }
     /// Ends all instances at once.
     void killAll() { this->processes.clear(); }
 
 private:
-    bool start(std::size_t);
+    bool awaitReady(std::size_t);
+    void addSettings();
 
     std::string program;
     std::string store;
     std::string folder;
     std::vector<std::string> settingsPaths;
     std::vector<std::string> callerAddresses;
+    std::vector<std::string> readyAddresses;
+    int drainSeconds = 2;
     std::vector<std::unique_ptr<Process>> processes;
 };
 
--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -97,6 +97,14 @@
     this->childPid = -1;
 }
 
+bool Process::hasEnded()
+{
+    this->collectOutput();
+    if (this->childPid > 0 && waitpid(this->childPid, nullptr, WNOHANG) == this->childPid)
+        this->childPid = -1;
+    return this->childPid <= 0;
+}
+
 int Process::awaitExit(double seconds)
 {
     auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -23,6 +23,10 @@
     std::string awaitJsonLine(const std::string& field, double seconds = 20);
     /// Everything that the process has printed so far.
     std::string output();
+    /// Takes over what the process has printed, so that its pipe does not fill up.
+    void collectOutput() { this->readAvailableOutput(0); }
+    /// True if the process has ended by itself; it is then reaped.
+    bool hasEnded();
     /// Sends a signal, unless the process has been reaped.
     void sendSignal(int);
     /// Kills the process with SIGKILL and reaps it.
