Play a fleet of 13 processes under planned work and faults, failing

The case has the report's shape: 13 instances as processes, three groups of three members with 3 slots and promotions of 1,000 ms, three routes of which one opens a session for each operation, a balancer that asks once a second and gives up after two misses. Instances are stopped, reloaded, added and throttled in overlapping series, configurations change, members are replaced; in the second test members fail and leaders are suspended or killed too. Both halves of the rule are counted: commits that callers were told of and that a promoted log lacks, and requests without an answer.

--- a/src/standin/replicated_group.cpp
+++ b/src/standin/replicated_group.cpp
@@ -15,18 +15,18 @@
     constexpr std::chrono::milliseconds heartbeatInterval { 1200 };
     // An entry expires after three intervals without a heartbeat.
     constexpr std::chrono::milliseconds entryLifetime { 3600 };
-    constexpr std::chrono::milliseconds promotionTime { 600 };
     // A former primary continues for this long once it can reach the new one.
     constexpr std::chrono::milliseconds formerPrimaryTime { 1000 };
 
 } // namespace
 
-ReplicatedGroup::ReplicatedGroup(asio::io_context& context, std::string service, std::size_t memberCount)
+ReplicatedGroup::ReplicatedGroup(
+    asio::io_context& context, std::string service, std::size_t memberCount, const std::string& idPrefix)
     : context(context)
     , serviceName(std::move(service))
 {
     for (std::size_t i = 0; i < memberCount; ++i)
-        this->all.push_back(std::make_shared<ReplicatedMember>(context, *this, fmt::format("m{}", i)));
+        this->all.push_back(std::make_shared<ReplicatedMember>(context, *this, fmt::format("{}{}", idPrefix, i)));
     this->all.front()->primary = true;
 }
 
@@ -94,6 +94,12 @@
     this->store->put("servers/" + member, entry);
 }
 
+void ReplicatedGroup::eraseEntry(const std::string& member)
+{
+    this->heartbeats.erase(member);
+    this->store->erase("servers/" + member);
+}
+
 void ReplicatedGroup::expireEntries()
 {
     auto now = std::chrono::steady_clock::now();
@@ -160,7 +166,7 @@
 asio::awaitable<void> ReplicatedGroup::lead(std::shared_ptr<ReplicatedMember> target)
 {
     unsigned run = target->run;
-    co_await this->sleepFor(promotionTime);
+    co_await this->sleepFor(this->promotionTime);
     // A member that has restarted meanwhile does not know of the order.
     if (target->run != run)
         co_return;
--- a/src/standin/replicated_group.h
+++ b/src/standin/replicated_group.h
@@ -27,7 +27,9 @@
         bool lost = false;
     };
 
-    ReplicatedGroup(boost::asio::io_context&, std::string service, std::size_t memberCount);
+    /// The members' ids are `idPrefix` and a number.
+    ReplicatedGroup(
+        boost::asio::io_context&, std::string service, std::size_t memberCount, const std::string& idPrefix = "m");
 
     /// Starts the members, the first as the primary. They write their entries to this store.
     void start(std::shared_ptr<KvService>);
@@ -48,6 +50,13 @@
     bool replicate(const ReplicatedMember& primary);
     void recordAcknowledged(const ReplicatedMember& primary, const ReplicatedMember::Commit&);
     void recordHeartbeat(const std::string& member, const std::string& entry);
+    /// Removes a member's entry at once.
+    void eraseEntry(const std::string& member);
+    /// A member has received a statement of this id.
+    void recordSeen(const std::string& statementId) { this->seenStatements.insert(statementId); }
+    const std::set<std::string>& seen() const { return this->seenStatements; }
+    /// Sets how long after an order a member leads.
+    void setPromotionTime(std::chrono::milliseconds time) { this->promotionTime = time; }
     void recordEvent(const std::string&);
 
 private:
@@ -71,6 +80,8 @@
     std::vector<std::shared_ptr<ReplicatedMember>> all;
     std::map<std::string, Heartbeat> heartbeats;
     std::vector<Acknowledged> acknowledgedCommits;
+    std::set<std::string> seenStatements;
+    std::chrono::milliseconds promotionTime { 600 };
     std::string events;
     TimePoint startedAt = std::chrono::steady_clock::now();
     unsigned promotionCount = 0;
--- a/src/standin/replicated_member.cpp
+++ b/src/standin/replicated_member.cpp
@@ -14,6 +14,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds pollInterval { 5 };
+    constexpr std::chrono::milliseconds slotPollInterval { 2 };
     constexpr std::chrono::milliseconds commitTimeout { 5000 };
 
     std::int64_t unixMilliseconds()
@@ -100,6 +101,21 @@
     this->startedAt = unixMilliseconds();
 }
 
+void ReplicatedMember::handOver(std::string id)
+{
+    ++this->run;
+    this->group.eraseEntry(this->memberId);
+    this->memberId = std::move(id);
+    this->primary = false;
+    this->paused = false;
+    this->draining = false;
+    this->startedAt = unixMilliseconds();
+    for (const auto& weak : std::exchange(this->connections, {})) {
+        if (auto connection = weak.lock())
+            connection->socket.close();
+    }
+}
+
 asio::awaitable<void> ReplicatedMember::sleepFor(std::chrono::milliseconds time)
 {
     asio::steady_timer timer(this->context, time);
@@ -138,6 +154,8 @@
             co_return;
         auto connection = std::make_shared<Connection>(std::move(socket));
         connection->run = this->run;
+        std::erase_if(this->connections, [](const auto& weak) { return weak.expired(); });
+        this->connections.push_back(connection);
         asio::co_spawn(
             this->context, [self, connection] { return self->serve(connection); }, asio::detached);
     }
@@ -161,6 +179,9 @@
             connection->received.append(chunk, 0, size);
             continue;
         }
+        auto* opening = std::get_if<OpenSession>(&*message);
+        if (opening && !opening->key.ends_with(" " + this->memberId))
+            co_return;
         std::string response;
         if (auto* statement = std::get_if<SessionStatement>(&*message))
             response = co_await this->execute(connection, *statement);
@@ -223,6 +244,31 @@
 // Executes a statement and returns the ROW lines and the DONE or ERR line of its response.
 asio::awaitable<std::string> ReplicatedMember::execute(
     std::shared_ptr<Connection> connection, SessionStatement statement)
+{
+    this->group.recordSeen(statement.id);
+    bool taken = co_await this->takeSlot();
+    if (!taken)
+        co_return "ERR BUSY no slot\r\n";
+    std::string response = co_await this->executeInSlot(std::move(connection), std::move(statement));
+    --this->running;
+    co_return response;
+}
+
+// False if too many others wait.
+asio::awaitable<bool> ReplicatedMember::takeSlot()
+{
+    if (this->running >= this->capacity.slots && this->waiting >= this->capacity.queue)
+        co_return false;
+    ++this->waiting;
+    while (this->running >= this->capacity.slots)
+        co_await this->sleepFor(slotPollInterval);
+    --this->waiting;
+    ++this->running;
+    co_return true;
+}
+
+asio::awaitable<std::string> ReplicatedMember::executeInSlot(
+    std::shared_ptr<Connection> connection, SessionStatement statement)
 {
     std::string rest = statement.text;
     std::string word = takeWord(rest);
@@ -237,6 +283,9 @@
         co_await this->sleepFor(this->commandTime);
         co_return this->runCommand(word, rest.empty() ? 0 : std::stoull(rest));
     }
+    // Only reads are prepared by the tests' callers.
+    if (word == "EXECUTE")
+        word = "READ";
     bool inTransaction = connection->state == TransactionState::Open;
     bool needsPrimary
         = word == "WRITE" || (word == "BEGIN" && rest.empty()) || (word == "COMMIT" && !connection->writeIds.empty());
--- a/src/standin/replicated_member.h
+++ b/src/standin/replicated_member.h
@@ -19,6 +19,15 @@
 /// until a replica has received them; a replica that is paused or deaf receives none. Not thread-safe.
 class ReplicatedMember : public std::enable_shared_from_this<ReplicatedMember> {
 public:
+    /// What the member can do at the same time.
+    struct Capacity {
+        /// Statements and commands that run at once.
+        std::size_t slots = 1000;
+        /// Statements that wait for one of the slots. Others are refused.
+        std::size_t queue = 0;
+
+        auto operator<=>(const Capacity&) const = default;
+    };
     /// A commit and the ids of its writes.
     struct Commit {
         Position position;
@@ -44,12 +53,15 @@
     void loseStore(std::chrono::milliseconds);
     /// Restarts the member at once, without its log, under its id.
     void restartEmpty();
+    /// Ends the member and starts one of this id, with its log, at its address, as a replica.
+    void handOver(std::string id);
     /// Sets whether the member announces that it leaves.
     void setDraining(bool draining) { this->draining = draining; }
     /// Time that each read, write and commit takes.
     void setWorkTime(std::chrono::milliseconds time) { this->workTime = time; }
     /// Time that each command of an instance takes, among them STATUS and PAUSE.
     void setCommandTime(std::chrono::milliseconds time) { this->commandTime = time; }
+    void setCapacity(const Capacity& capacity) { this->capacity = capacity; }
     Position position() const { return this->log.empty() ? Position { 1, 1 } : this->log.back().position; }
 
 private:
@@ -61,7 +73,9 @@
     boost::asio::awaitable<void> sendHeartbeats();
     boost::asio::awaitable<void> serve(std::shared_ptr<Connection>);
     boost::asio::awaitable<void> awaitRunning();
+    boost::asio::awaitable<bool> takeSlot();
     boost::asio::awaitable<std::string> execute(std::shared_ptr<Connection>, SessionStatement);
+    boost::asio::awaitable<std::string> executeInSlot(std::shared_ptr<Connection>, SessionStatement);
     boost::asio::awaitable<std::string> commit(std::vector<std::string> writeIds, unsigned ownRun);
     boost::asio::awaitable<void> sleepFor(std::chrono::milliseconds);
     std::string runCommand(const std::string& word, std::uint64_t term);
@@ -90,6 +104,10 @@
     std::int64_t startedAt = 0;
     std::chrono::milliseconds workTime { 5 };
     std::chrono::milliseconds commandTime { 0 };
+    Capacity capacity;
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    std::vector<std::weak_ptr<Connection>> connections;
 };
 
 } // namespace catkinlock::standin
