Log how each session of a leaving instance ended

The log told how many sessions a leaving instance cut, not which of them ended when and why, so the hypotheses on requests without an answer (docs/incidents/LOST-PROCESSES.md) could not be told apart. No change of behaviour.

--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -22,6 +22,9 @@
     // The deadline lies this much before the route's limit, so that the reply reaches the caller within the limit.
     constexpr Milliseconds responseMargin { 20 };
 
+    // The kind of a statement for the log, without its parameters.
+    std::string firstWord(const std::string& text) { return text.substr(0, text.find(' ')); }
+
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
 } // namespace
@@ -68,28 +71,48 @@
 asio::awaitable<void> Session::run()
 {
     auto self = this->shared_from_this();
+    const char* cause = "ended_by_instance";
     bool opened = co_await this->open();
     while (opened && !this->ending) {
         auto message = co_await this->nextMessage();
-        if (!message)
-            break;
-        auto* statement = std::get_if<SessionStatement>(&*message);
-        if (!statement)
+        auto* statement = message ? std::get_if<SessionStatement>(&*message) : nullptr;
+        if (!statement) {
+            cause = this->ending ? cause : "ended_by_caller";
             break;
+        }
+        ++this->statements;
+        this->lastStatement = statement->text;
         TargetReply reply = co_await this->runStatement(*statement);
         std::string bytes;
         this->context->protocol->appendReply(bytes, reply);
         bool written = co_await this->write(std::move(bytes));
-        if (!written)
+        if (!written) {
+            cause = "reply_not_written";
             break;
+        }
         this->ending = this->context->drain && this->runner.state() == TransactionState::Idle;
     }
+    if (this->context->drain)
+        this->logEndWhileLeaving(cause);
     this->runner.close();
     boost::system::error_code ignored;
     this->socket->stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->socket->stream.close(ignored);
 }
 
+// Bytes that were not read tell that the caller has sent a request that gets no reply.
+void Session::logEndWhileLeaving(const char* cause)
+{
+    if (!this->context->failureLineBudget.take(Clock::now()))
+        return;
+    boost::system::error_code ignored;
+    std::size_t unread = this->received.size() + this->socket->stream.available(ignored);
+    writeLog(LogLevel::Info, "session_ended",
+        { { "database", this->database }, { "cause", cause }, { "unread_bytes", fmt::format("{}", unread) },
+            { "statements", fmt::format("{}", this->statements) }, { "last_statement", firstWord(this->lastStatement) },
+            { "in_transaction", this->runner.state() == TransactionState::Idle ? "no" : "yes" } });
+}
+
 asio::awaitable<bool> Session::write(std::string bytes)
 {
     auto [error, size] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -39,6 +39,7 @@
     tl::expected<StatementCall, TargetReply> admitCall() const;
     std::optional<TargetReply> refuseWhileLeaving(const SessionStatement&);
     void startIdleTransactionTimer();
+    void logEndWhileLeaving(const char* cause);
     // Updates the counters and the service level, and logs the statement within the line budget.
     void recordOutcome(const SessionStatement&, const TargetReply&, const StatementCall&) const;
 
@@ -55,6 +56,9 @@
     OperationToken operationToken;
     // True while the session reads from the connection and runs no request.
     bool awaitingInput = false;
+    // Statements received, and the last of them.
+    std::uint64_t statements = 0;
+    std::string lastStatement;
     // True once no further message is to be read.
     bool ending = false;
 };
