Tell callers that their session ends before a leaving instance closes it

What callers saw: at a planned stop, sessions ended in the middle of an operation. A caller that opens a session for each operation sends SET, gets its reply, sends the next statement and meets the close; one whose idle session ends just as it sends a statement meets a reset.

Cause: an instance took 'in no transaction' for 'between two operations' and closed the connection without a word, so that a statement on its way was lost whatever it was. Class: a state that says less than what is concluded from it, and an end that only one side knows of.

Change: an operation is over once a statement that belongs to one has left the session in no transaction; SET and PREPARE belong to none. The instance then sends an error that nothing asked for, on which the protocol's callers close the session, and reads on. A statement that was on its way is not run: the error is the first part of its reply, and the state completes it (a promise that nothing was kept, so the caller tries elsewhere). Idle sessions get the notice after 200 ms of quiet. The listener is open for half of the drain time, whether sessions are open or not, because a balancer takes two misses to notice; what waits in its backlog is served before it closes. Before, it was closed at a quarter of the time if no session was open at that moment, and never otherwise.

--- a/src/include/catkinlock/caller_protocol.h
+++ b/src/include/catkinlock/caller_protocol.h
@@ -23,6 +23,11 @@
     virtual void appendOpened(std::string& out) const = 0;
     /// Appends the message that the session is refused. The connection is closed after it.
     virtual void appendRefusedOpening(std::string& out, StatementError, const std::string& text) const = 0;
+    /// Appends the notice that the session ends, sent while no statement is known to be outstanding. The caller closes
+    /// the session. If it has sent a statement meanwhile, the notice is the first part of the reply to it, which says
+    /// that it did not run; `appendRestOfNotice` is the other part.
+    virtual void appendNotice(std::string& out, StatementError, const std::string& text) const = 0;
+    virtual void appendRestOfNotice(std::string& out, TransactionState) const = 0;
 };
 
 } // namespace catkinlock
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -631,14 +631,12 @@
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         TimePoint now = Clock::now();
-        bool endIdle = now > schedule.idleSessionsEnd;
         bool empty = !this->sessions->sessions.load();
         bool done = empty && !accepting && !this->promoter->isLeader();
-        if (endIdle && (done || now > schedule.processEnd))
+        if (done || now > schedule.processEnd)
             break;
-        // The listener is closed once idle sessions are ended and no session is open. The process ends one step later
-        // at the earliest, so that a session accepted before the close is still served.
-        bool stopAccepting = endIdle && empty && accepting;
+        // The process ends one step later at the earliest, so that a session accepted before the close is still served.
+        bool stopAccepting = accepting && now > schedule.acceptingEnds;
         accepting = accepting && !stopAccepting;
         asio::post(this->requests, [this, stopAccepting, now] {
             if (stopAccepting)
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -21,6 +21,10 @@
     constexpr Milliseconds defaultStatementTimeout { 5000 };
     // The deadline lies this much before the route's limit, so that the reply reaches the caller within the limit.
     constexpr Milliseconds responseMargin { 20 };
+    // A session of a leaving instance is ended between two operations only after it was quiet for this long.
+    constexpr Milliseconds minQuietTime { 200 };
+    // Longest wait for a caller to close a session after the notice that it ends.
+    constexpr Milliseconds noticeTimeout { 500 };
 
     // The kind of a statement for the log, without its parameters.
     std::string firstWord(const std::string& text) { return text.substr(0, text.find(' ')); }
@@ -43,6 +47,7 @@
     : socket(std::make_unique<Socket>(std::move(socket)))
     , context(std::move(context))
     , runner(this->context)
+    , quietSince(Clock::now())
 {
     ++this->context->sessions;
     boost::system::error_code ignored;
@@ -52,6 +57,12 @@
 
 Session::~Session() { --this->context->sessions; }
 
+void Session::cancelRead()
+{
+    boost::system::error_code ignored;
+    this->socket->stream.cancel(ignored);
+}
+
 void Session::endIfDue(TimePoint now)
 {
     const auto& drain = this->context->drain;
@@ -59,63 +70,96 @@
     bool waits = this->awaitingInput && this->received.empty() && !this->socket->stream.available(ignored);
     if (!drain || !waits)
         return;
+    if (this->noticeGivenAt) {
+        if (now > *this->noticeGivenAt + noticeTimeout)
+            this->cancelRead();
+        return;
+    }
     if (now > drain->transactionsEnd)
         this->runner.abandonUnreported();
     bool idle = this->runner.state() == TransactionState::Idle;
-    if (now <= (idle ? drain->idleSessionsEnd : drain->statementsEnd))
+    TimePoint due = idle ? drain->idleSessionsEnd : drain->statementsEnd;
+    if (now <= due || now < this->quietSince + minQuietTime)
         return;
-    this->ending = true;
-    this->socket->stream.cancel(ignored);
+    this->noticeDue = true;
+    this->cancelRead();
+}
+
+// The session ends between two operations, so that nothing of it is lost. A statement that the caller has sent before
+// it sees the notice is not run.
+void Session::appendNotice(std::string& out)
+{
+    bool idle = this->runner.state() == TransactionState::Idle;
+    this->context->protocol->appendNotice(out, idle ? StatementError::Busy : StatementError::Aborted,
+        idle ? "not run: this instance is leaving; use another one" : "rolled back: this instance is leaving");
+    this->noticeGivenAt = Clock::now();
 }
 
 asio::awaitable<void> Session::run()
 {
     auto self = this->shared_from_this();
-    const char* cause = "ended_by_instance";
-    bool opened = co_await this->open();
-    while (opened && !this->ending) {
-        auto message = co_await this->nextMessage();
-        auto* statement = message ? std::get_if<SessionStatement>(&*message) : nullptr;
-        if (!statement) {
-            cause = this->ending ? cause : "ended_by_caller";
-            break;
-        }
-        ++this->statements;
-        this->lastStatement = statement->text;
-        TargetReply reply = co_await this->runStatement(*statement);
-        std::string bytes;
-        this->context->protocol->appendReply(bytes, reply);
-        bool written = co_await this->write(std::move(bytes));
-        if (!written) {
-            cause = "reply_not_written";
-            break;
-        }
-        this->ending = this->context->drain && this->runner.state() == TransactionState::Idle;
-    }
+    bool open = co_await this->open();
+    while (open)
+        open = co_await this->serveNext();
     if (this->context->drain)
-        this->logEndWhileLeaving(cause);
+        this->logEndWhileLeaving();
     this->runner.close();
     boost::system::error_code ignored;
     this->socket->stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->socket->stream.close(ignored);
 }
 
+// Serves the next message. False once the session has ended.
+asio::awaitable<bool> Session::serveNext()
+{
+    auto message = co_await this->nextMessage();
+    std::string bytes;
+    if (!message && std::exchange(this->noticeDue, false)) {
+        this->appendNotice(bytes);
+        co_return co_await this->write(std::move(bytes));
+    }
+    this->noticeDue = false;
+    auto* statement = message ? std::get_if<SessionStatement>(&*message) : nullptr;
+    if (!statement)
+        co_return false;
+    if (!this->noticeGivenAt)
+        co_return co_await this->serveStatement(std::move(*statement));
+    this->context->protocol->appendRestOfNotice(bytes, this->runner.state());
+    this->appendNotice(bytes);
+    co_return co_await this->write(std::move(bytes));
+}
+
+asio::awaitable<bool> Session::serveStatement(SessionStatement statement)
+{
+    ++this->statements;
+    this->lastStatement = statement.text;
+    bool inOperation = this->runner.state() != TransactionState::Idle || this->runner.startsOperation(statement);
+    TargetReply reply = co_await this->runStatement(std::move(statement));
+    std::string bytes;
+    this->context->protocol->appendReply(bytes, reply);
+    if (this->context->drain && inOperation && this->runner.state() == TransactionState::Idle)
+        this->appendNotice(bytes);
+    co_return co_await this->write(std::move(bytes));
+}
+
 // Bytes that were not read tell that the caller has sent a request that gets no reply.
-void Session::logEndWhileLeaving(const char* cause)
+void Session::logEndWhileLeaving()
 {
     if (!this->context->failureLineBudget.take(Clock::now()))
         return;
     boost::system::error_code ignored;
     std::size_t unread = this->received.size() + this->socket->stream.available(ignored);
     writeLog(LogLevel::Info, "session_ended",
-        { { "database", this->database }, { "cause", cause }, { "unread_bytes", fmt::format("{}", unread) },
-            { "statements", fmt::format("{}", this->statements) }, { "last_statement", firstWord(this->lastStatement) },
+        { { "database", this->database }, { "caller_told", this->noticeGivenAt ? "yes" : "no" },
+            { "unread_bytes", fmt::format("{}", unread) }, { "statements", fmt::format("{}", this->statements) },
+            { "last_statement", firstWord(this->lastStatement) },
             { "in_transaction", this->runner.state() == TransactionState::Idle ? "no" : "yes" } });
 }
 
 asio::awaitable<bool> Session::write(std::string bytes)
 {
     auto [error, size] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
+    this->quietSince = Clock::now();
     co_return !error;
 }
 
@@ -155,9 +199,24 @@
     }
 }
 
-asio::awaitable<bool> Session::open()
+// The first message of the session; std::nullopt also if the session ends before it.
+asio::awaitable<std::optional<CallerMessage>> Session::awaitOpening()
 {
     auto message = co_await this->nextMessage();
+    if (message || !std::exchange(this->noticeDue, false))
+        co_return message;
+    std::string bytes;
+    this->appendNotice(bytes);
+    bool written = co_await this->write(std::move(bytes));
+    // What arrives now is read before the connection is closed, so that the notice is not lost with it.
+    if (written)
+        co_await this->nextMessage();
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> Session::open()
+{
+    auto message = co_await this->awaitOpening();
     auto* opening = message ? std::get_if<OpenSession>(&*message) : nullptr;
     if (!opening)
         co_return false;
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -25,21 +25,27 @@
     /// Serves the session from its opening message until the caller closes it, the connection fails or the session is
     /// ended.
     boost::asio::awaitable<void> run();
-    /// Rolls back the open transaction, or ends the session, if that is due by the schedule of the drain and no request
-    /// of the session is running or waiting to be read.
+    /// Rolls back the open transaction, or tells the caller that the session ends, if that is due by the schedule of
+    /// the drain and no request of the session is running or waiting to be read. Closes the session if the caller has
+    /// been told so and does not respond.
     void endIfDue(TimePoint now);
 
 private:
     struct Socket;
 
     boost::asio::awaitable<bool> open();
+    boost::asio::awaitable<std::optional<CallerMessage>> awaitOpening();
+    boost::asio::awaitable<bool> serveNext();
+    boost::asio::awaitable<bool> serveStatement(SessionStatement);
     boost::asio::awaitable<std::optional<CallerMessage>> nextMessage();
     boost::asio::awaitable<bool> write(std::string bytes);
+    void appendNotice(std::string& out);
+    void cancelRead();
     boost::asio::awaitable<TargetReply> runStatement(SessionStatement);
     tl::expected<StatementCall, TargetReply> admitCall() const;
     std::optional<TargetReply> refuseWhileLeaving(const SessionStatement&);
     void startIdleTransactionTimer();
-    void logEndWhileLeaving(const char* cause);
+    void logEndWhileLeaving();
     // Updates the counters and the service level, and logs the statement within the line budget.
     void recordOutcome(const SessionStatement&, const TargetReply&, const StatementCall&) const;
 
@@ -59,8 +65,12 @@
     // Statements received, and the last of them.
     std::uint64_t statements = 0;
     std::string lastStatement;
-    // True once no further message is to be read.
-    bool ending = false;
+    // When the session was accepted or the last reply was sent.
+    TimePoint quietSince;
+    // When the caller was told that the session ends.
+    std::optional<TimePoint> noticeGivenAt;
+    // True if the caller is to be told that the session ends.
+    bool noticeDue = false;
 };
 
 } // namespace catkinlock
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -36,7 +36,7 @@
     std::shared_ptr<ServiceLevel> level;
     /// Sends reads to gateways; null if this instance runs all of them itself.
     std::shared_ptr<ReadForwarder> reads;
-    /// Set once the instance drains: each session then ends after its next statement that leaves it in no transaction.
+    /// Set once the instance drains: each session then ends after its next operation.
     /// Request thread only.
     std::optional<DrainSchedule> drain;
     /// Sessions that are open now.
--- a/src/libsession/session_front.cpp
+++ b/src/libsession/session_front.cpp
@@ -45,6 +45,15 @@
 void SessionFront::stopAccepting()
 {
     boost::system::error_code ignored;
+    // Connections that are complete already would be reset.
+    this->acceptor->socket.non_blocking(true, ignored);
+    for (;;) {
+        boost::system::error_code error;
+        auto socket = this->acceptor->socket.accept(error);
+        if (error)
+            break;
+        this->serve(std::move(socket));
+    }
     this->acceptor->socket.close(ignored);
 }
 
@@ -60,14 +69,19 @@
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        auto session = std::make_shared<Session>(std::move(socket), this->sessionContext);
-        if (this->sessions.size() >= sweepThreshold)
-            std::erase_if(this->sessions, [](const auto& weak) { return weak.expired(); });
-        this->sessions.push_back(session);
-        spawn(this->context, [session] { return session->run(); });
+        this->serve(std::move(socket));
     }
 }
 
+void SessionFront::serve(asio::ip::tcp::socket socket)
+{
+    auto session = std::make_shared<Session>(std::move(socket), this->sessionContext);
+    if (this->sessions.size() >= sweepThreshold)
+        std::erase_if(this->sessions, [](const auto& weak) { return weak.expired(); });
+    this->sessions.push_back(session);
+    spawn(this->context, [session] { return session->run(); });
+}
+
 std::vector<std::shared_ptr<Session>> SessionFront::liveSessions()
 {
     std::vector<std::shared_ptr<Session>> found;
--- a/src/libsession/session_front.h
+++ b/src/libsession/session_front.h
@@ -4,6 +4,7 @@
 #include "libsession/session_context.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     /// False if the address can't be bound.
     bool listen(const std::string& address);
     void start();
+    /// Serves the connections that are complete and closes the listener.
     void stopAccepting();
     /// Ends the sessions and transactions that are due by the schedule of the drain.
     void endSessions(TimePoint now);
@@ -28,6 +30,7 @@
 private:
     struct Acceptor;
     boost::asio::awaitable<void> accept();
+    void serve(boost::asio::ip::tcp::socket);
     std::vector<std::shared_ptr<Session>> liveSessions();
 
     boost::asio::io_context& context;
