All steps of an attempt at a statement share one deadline

What callers saw: at a planned stop, the connection ended without an answer while an instance was still setting the session's values at a slow member.

Cause: a statement's remaining time was computed once and then given in full to each command of the attempt: every SET, RESET and PREPARE, the statement itself, and a repeat after BUSY. Where the attempt had to wait for a connection first, it was computed before that wait. So with n steps an attempt could take n times what was left, past the drain's end of replies and past the process's end.

Change: an attempt has a deadline, a point in time, that its wait for a connection and all its exchanges share (TargetLink's send, command and applySessionState take one). A statement whose time is over is not sent, and is refused as not run. Commands of a replacement keep their limit for each.

Reads through gateways, by reading only: the asking instance waits for its gateway until its own deadline at most, and a gateway runs the read by the same code, with a deadline that nobody waits for beyond the asker's.

--- a/src/libsession/member_commands.cpp
+++ b/src/libsession/member_commands.cpp
@@ -37,7 +37,7 @@
         if (!opened)
             co_return std::nullopt;
     }
-    auto reply = co_await link->command(command, std::nullopt, commandTimeout);
+    auto reply = co_await link->command(command, std::nullopt, Clock::now() + commandTimeout);
     if (!reply)
         co_return std::nullopt;
     this->links[target.id] = link;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -25,12 +25,6 @@
     // A connection whose rollback takes longer is closed.
     constexpr Milliseconds rollbackTimeout { 500 };
 
-    Milliseconds timeLeft(TimePoint deadline)
-    {
-        auto left = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now());
-        return std::max(left, Milliseconds(1));
-    }
-
     // True for the errors by which a member refuses a statement before running any of it.
     bool isNotRun(StatementError error)
     {
@@ -45,7 +39,7 @@
     {
         TargetCommand command;
         command.kind = TargetCommand::Kind::Rollback;
-        auto reply = co_await link->command(command, std::nullopt, rollbackTimeout);
+        auto reply = co_await link->command(command, std::nullopt, Clock::now() + rollbackTimeout);
         if (!reply)
             link->close();
         pool->release(link);
@@ -315,16 +309,24 @@
 }
 
 asio::awaitable<SessionRunner::Attempt> SessionRunner::exchange(std::shared_ptr<TargetLink> link, Placement placement,
-    SessionStatement statement, StatementCall call, Milliseconds timeout)
+    SessionStatement statement, StatementCall call, TimePoint deadline)
 {
     Attempt attempt;
     std::shared_ptr<TargetPool> pool = placement.pool;
+    auto notSent = [&attempt, &link](const char* why) {
+        attempt.reply.error = StatementError::Busy;
+        attempt.reply.errorText = why;
+        attempt.reply.state = link->state();
+        return attempt;
+    };
+    TimePoint startedAt = Clock::now();
+    if (startedAt >= deadline)
+        co_return notSent("not sent: the statement's time was over when it had a connection to the member");
     std::string preparedName = this->preparedNameFor(statement);
     std::string preparedText;
     if (!preparedName.empty())
         preparedText = this->prepared.at(statement.name).argument;
-    TimePoint startedAt = Clock::now();
-    bool stateApplied = co_await link->applySessionState(this->values, preparedName, preparedText, timeout);
+    bool stateApplied = co_await link->applySessionState(this->values, preparedName, preparedText, deadline);
     if (!stateApplied) {
         pool->recordFailure(startedAt, false, Clock::now());
         attempt.reply.error = StatementError::Busy;
@@ -333,16 +335,14 @@
         co_return attempt;
     }
     TimePoint sentAt = Clock::now();
-    if (!this->mayStillRun(placement, call)) {
-        attempt.reply.error = StatementError::Busy;
-        attempt.reply.errorText
-            = "not sent: the caller's key is no longer valid, or the primary changed or can't be confirmed";
-        attempt.reply.state = link->state();
-        co_return attempt;
-    }
+    if (sentAt >= deadline)
+        co_return notSent("not sent: setting the session's values took all of the statement's time");
+    if (!this->mayStillRun(placement, call))
+        co_return notSent(
+            "not sent: the caller's key is no longer valid, or the primary changed or can't be confirmed");
     bool wrote = this->writes(statement) || (statement.kind == StatementKind::Commit && this->transaction.wrote);
     SentRequest request = this->context->groups->requestTo(*this->context->view->read(), pool, sentAt);
-    auto reply = co_await link->send(statement, placement.after, preparedName, timeout);
+    auto reply = co_await link->send(statement, placement.after, preparedName, deadline);
     TimePoint now = Clock::now();
     this->operationMayHaveRun = this->operationMayHaveRun || !reply || !reply->error || !isNotRun(*reply->error);
     if (!reply) {
@@ -404,11 +404,11 @@
 }
 
 asio::awaitable<SessionRunner::Attempt> SessionRunner::attemptOn(
-    Placement placement, SessionStatement statement, StatementCall call, Milliseconds timeout)
+    Placement placement, SessionStatement statement, StatementCall call, TimePoint deadline)
 {
     ++this->attempts;
     this->memberId = placement.pool->target().id;
-    TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
+    TimePoint waitUntil = std::min(deadline, call.endOfCapacityWait(Clock::now()));
     auto link = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil);
     Attempt attempt;
     if (!link) {
@@ -417,12 +417,12 @@
         this->logFailedAttempt(attempt, statement, placement.after);
         co_return attempt;
     }
-    attempt = co_await this->exchange(*link, placement, statement, call, timeout);
+    attempt = co_await this->exchange(*link, placement, statement, call, deadline);
     // No other member can replace the primary. A new connection would cost the primary as much as a statement, so the
     // statement is sent again on the same one.
     while (placement.isPrimary && this->wasRefusedAsBusy(attempt) && Clock::now() + busyRetryDelay < waitUntil) {
         co_await this->sleepFor(busyRetryDelay);
-        attempt = co_await this->exchange(*link, placement, statement, call, timeout);
+        attempt = co_await this->exchange(*link, placement, statement, call, deadline);
     }
     this->logFailedAttempt(attempt, statement, placement.after);
     if (this->keepsConnection && (*link)->isOpen() && (*link)->state() == TransactionState::Idle)
@@ -443,11 +443,11 @@
         auto placement = this->context->groups->placeRead(*view, requirements, tried, Clock::now());
         if (!placement)
             break;
-        Milliseconds left = timeLeft(call.deadline);
-        bool first = this->attempts == 0;
-        Milliseconds timeout = first ? std::chrono::duration_cast<Milliseconds>(left * firstReadTimeFraction) : left;
+        TimePoint now = Clock::now();
+        auto firstReadTime = std::chrono::duration_cast<Duration>((call.deadline - now) * firstReadTimeFraction);
+        TimePoint deadline = this->attempts == 0 ? now + firstReadTime : call.deadline;
         tried.insert(placement->pool->target().id);
-        Attempt attempt = co_await this->attemptOn(*placement, statement, call, timeout);
+        Attempt attempt = co_await this->attemptOn(*placement, statement, call, deadline);
         if (attempt.outcome == Attempt::AttemptOutcome::Replied && !attempt.reply.error)
             co_return attempt.reply;
         last = this->refuse(StatementError::Busy, "no member served this read; try again later");
@@ -467,7 +467,7 @@
         auto placement = this->context->groups->placeWrite(*view, call.route.pool, Clock::now());
         if (!placement)
             co_return last;
-        Attempt attempt = co_await this->attemptOn(*placement, statement, call, timeLeft(call.deadline));
+        Attempt attempt = co_await this->attemptOn(*placement, statement, call, call.deadline);
         if (attempt.outcome == Attempt::AttemptOutcome::ReplyLost)
             co_return this->refuse(StatementError::InDoubt, "no reply from the primary; the write may have run");
         bool done = !attempt.reply.error;
@@ -520,7 +520,7 @@
     std::shared_ptr<TargetLink> link, Placement placement, StatementCall call, TargetReply& failure)
 {
     TimePoint sentAt = Clock::now();
-    bool stateApplied = co_await link->applySessionState(this->values, "", "", timeLeft(call.deadline));
+    bool stateApplied = co_await link->applySessionState(this->values, "", "", call.deadline);
     TargetCommand begin;
     begin.kind = this->transaction.readOnly ? TargetCommand::Kind::BeginRead : TargetCommand::Kind::Begin;
     tl::expected<TargetReply, LinkFailure> reply;
@@ -531,7 +531,7 @@
     }
     if (stateApplied) {
         sentAt = Clock::now();
-        reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
+        reply = co_await link->command(begin, placement.after, call.deadline);
     }
     TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
     while (stateApplied && reply && reply->error == StatementError::Busy && Clock::now() + busyRetryDelay < waitUntil
@@ -539,7 +539,7 @@
         placement.pool->recordBusy();
         co_await this->sleepFor(busyRetryDelay);
         sentAt = Clock::now();
-        reply = co_await link->command(begin, placement.after, timeLeft(call.deadline));
+        reply = co_await link->command(begin, placement.after, call.deadline);
     }
     if (!stateApplied || !reply) {
         placement.pool->recordFailure(sentAt, false, Clock::now());
@@ -582,8 +582,7 @@
     for (unsigned i = 0; i < maxAttempts; ++i) {
         ++this->attempts;
         Placement placement = this->transactionPlacement(statement);
-        Attempt attempt
-            = co_await this->exchange(this->transaction.link, placement, statement, call, timeLeft(call.deadline));
+        Attempt attempt = co_await this->exchange(this->transaction.link, placement, statement, call, call.deadline);
         if (!attempt.reply.error && attempt.outcome == Attempt::AttemptOutcome::Replied) {
             this->transaction.wrote = this->transaction.wrote || wrote;
             this->setIdleInTransaction(true);
@@ -618,8 +617,8 @@
     std::string service = this->transaction.service;
     bool wrote = this->transaction.wrote;
     Placement placement = this->transactionPlacement(statement);
-    Attempt attempt = co_await this->exchange(
-        this->transaction.link, placement, std::move(statement), call, timeLeft(call.deadline));
+    Attempt attempt
+        = co_await this->exchange(this->transaction.link, placement, std::move(statement), call, call.deadline);
     this->abandon();
     this->transaction.state = TransactionState::Idle;
     if (attempt.outcome == Attempt::AttemptOutcome::ReplyLost) {
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -121,13 +121,13 @@
     boost::asio::awaitable<bool> bind(StatementCall, TargetReply& failure);
     boost::asio::awaitable<bool> beginOn(std::shared_ptr<TargetLink>, Placement, StatementCall, TargetReply& failure);
     void logFailedAttempt(const Attempt&, const SessionStatement&, const std::optional<Position>& after) const;
-    boost::asio::awaitable<Attempt> attemptOn(Placement, SessionStatement, StatementCall, Milliseconds timeout);
+    boost::asio::awaitable<Attempt> attemptOn(Placement, SessionStatement, StatementCall, TimePoint deadline);
     static bool wasRefusedAsBusy(const Attempt&);
     boost::asio::awaitable<void> sleepFor(Milliseconds);
     Placement transactionPlacement(const SessionStatement&) const;
     bool mayStillRun(const Placement&, const StatementCall&) const;
     boost::asio::awaitable<Attempt> exchange(
-        std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, Milliseconds timeout);
+        std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, TimePoint deadline);
 
     std::shared_ptr<SessionContext> context;
     std::map<std::string, std::string> values;
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -1,6 +1,7 @@
 #include "libsession/target_link.h"
 
 #include "catkinlock/address.h"
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <fmt/format.h>
@@ -63,7 +64,7 @@
     this->protocol->appendOpen(bytes, this->member.service, this->workspaceName, this->member.id);
     // A member that refuses the opening sends an error and closes the connection, without the state that ends other
     // replies. The exchange then fails, with the error as its refusal.
-    auto reply = co_await this->exchange(std::move(bytes), timeout);
+    auto reply = co_await this->exchange(std::move(bytes), Clock::now() + timeout);
     if (!reply) {
         LinkFailure failure = reply.error();
         failure.mayHaveBeenSent = false;
@@ -72,12 +73,13 @@
     co_return tl::expected<void, LinkFailure> {};
 }
 
-asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, Milliseconds timeout)
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
 {
     auto self = this->shared_from_this();
     LinkFailure failure;
     auto& stream = this->socket->stream;
-    stream.expires_after(timeout);
+    // The stream's timer runs on another clock.
+    stream.expires_after(std::max(Duration(0), deadline - Clock::now()));
     auto [writeError, written] = co_await asio::async_write(stream, asio::buffer(bytes), asResult());
     failure.mayHaveBeenSent = true;
     boost::system::error_code error = writeError;
@@ -108,32 +110,32 @@
 }
 
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::send(
-    SessionStatement statement, std::optional<Position> after, std::string preparedName, Milliseconds timeout)
+    SessionStatement statement, std::optional<Position> after, std::string preparedName, TimePoint deadline)
 {
     std::string bytes;
     this->protocol->appendStatement(bytes, statement, after, preparedName);
-    return this->exchange(std::move(bytes), timeout);
+    return this->exchange(std::move(bytes), deadline);
 }
 
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::command(
-    TargetCommand command, std::optional<Position> after, Milliseconds timeout)
+    TargetCommand command, std::optional<Position> after, TimePoint deadline)
 {
     std::string bytes;
     this->protocol->appendCommand(bytes, command, after);
-    return this->exchange(std::move(bytes), timeout);
+    return this->exchange(std::move(bytes), deadline);
 }
 
-asio::awaitable<bool> TargetLink::apply(TargetCommand command, Milliseconds timeout)
+asio::awaitable<bool> TargetLink::apply(TargetCommand command, TimePoint deadline)
 {
-    auto reply = co_await this->command(std::move(command), std::nullopt, timeout);
+    auto reply = co_await this->command(std::move(command), std::nullopt, deadline);
     if (reply && !reply->error)
         co_return true;
     this->close();
     co_return false;
 }
 
-asio::awaitable<bool> TargetLink::applySessionState(std::map<std::string, std::string> required,
-    std::string preparedName, std::string preparedText, Milliseconds timeout)
+asio::awaitable<bool> TargetLink::applySessionState(
+    std::map<std::string, std::string> required, std::string preparedName, std::string preparedText, TimePoint deadline)
 {
     auto self = this->shared_from_this();
     bool hasExtraValue = false;
@@ -142,7 +144,7 @@
     if (hasExtraValue) {
         TargetCommand reset;
         reset.kind = TargetCommand::Kind::Reset;
-        if (!co_await this->apply(reset, timeout))
+        if (!co_await this->apply(reset, deadline))
             co_return false;
         this->values.clear();
         this->preparedNames.clear();
@@ -155,7 +157,7 @@
         set.kind = TargetCommand::Kind::SetValue;
         set.name = item.first;
         set.argument = item.second;
-        if (!co_await this->apply(set, timeout))
+        if (!co_await this->apply(set, deadline))
             co_return false;
         this->values[item.first] = item.second;
     }
@@ -164,7 +166,7 @@
         prepare.kind = TargetCommand::Kind::Prepare;
         prepare.name = preparedName;
         prepare.argument = preparedText;
-        if (!co_await this->apply(prepare, timeout))
+        if (!co_await this->apply(prepare, deadline))
             co_return false;
         this->preparedNames.insert(preparedName);
     }
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -32,22 +32,23 @@
     TargetLink(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>);
     ~TargetLink();
 
-    /// Connects to the member and opens the connection for `workspace`. To be called once, before any exchange.
+    /// Connects to the member and opens the connection for `workspace`, and has `timeout` for each of the two. To be
+    /// called once, before any exchange.
     boost::asio::awaitable<tl::expected<void, LinkFailure>> open(
         TargetRecord, std::string workspace, Milliseconds timeout);
-    /// Sends a caller's statement and waits for the reply. With `after`, the member refuses the statement unless its
-    /// log has that position. With a `preparedName`, the execution names that prepared statement in place of the
-    /// caller's.
+    /// Sends a caller's statement and waits until `deadline` for the reply. With `after`, the member refuses the
+    /// statement unless its log has that position. With a `preparedName`, the execution names that prepared statement
+    /// in place of the caller's.
     boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> send(
-        SessionStatement, std::optional<Position> after, std::string preparedName, Milliseconds timeout);
-    /// Sends a command of the proxy itself and waits for the reply.
+        SessionStatement, std::optional<Position> after, std::string preparedName, TimePoint deadline);
+    /// Sends a command of the proxy itself and waits until `deadline` for the reply.
     boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> command(
-        TargetCommand, std::optional<Position> after, Milliseconds timeout);
+        TargetCommand, std::optional<Position> after, TimePoint deadline);
     /// Sets exactly these session values on the connection, and prepares `preparedText` under `preparedName` if that
-    /// name is not empty and not yet prepared. Other prepared statements may stay. `timeout` applies to each command
-    /// that this takes. False if one of them failed; the connection is then closed.
+    /// name is not empty and not yet prepared. Other prepared statements may stay. All the commands that this takes
+    /// share the time until `deadline`. False if one of them failed; the connection is then closed.
     boost::asio::awaitable<bool> applySessionState(std::map<std::string, std::string> values, std::string preparedName,
-        std::string preparedText, Milliseconds timeout);
+        std::string preparedText, TimePoint deadline);
     void close();
     bool isOpen() const;
 
@@ -57,9 +58,9 @@
 
 private:
     struct Socket;
-    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, Milliseconds timeout);
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, TimePoint deadline);
     // Runs a command. False if it failed; the connection is then closed.
-    boost::asio::awaitable<bool> apply(TargetCommand, Milliseconds timeout);
+    boost::asio::awaitable<bool> apply(TargetCommand, TimePoint deadline);
 
     std::shared_ptr<const TargetProtocol> protocol;
     std::unique_ptr<Socket> socket;
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -653,3 +653,30 @@
         EXPECT_TRUE(openUntilKnown(address, "bounded_staleness-db", "key-1").starts_with("READY"));
     EXPECT_TRUE(fleet.awaitRegistrations());
 }
+
+// Guards against LOST at a planned stop: a statement that is passed on in several steps, here five values, the start of
+// its transaction and itself, has its reply before the process ends. Each step alone would fit into the statement's
+// time.
+TEST(Sessions, AReplyComesBeforeAnInstanceEndsAlthoughItsMemberIsSlow)
+{
+    TestFleet fleet;
+    LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+    runUntilNotBusy(caller, "READ seat");
+    for (int i = 0; i < 5; ++i)
+        caller.run(fmt::format("SET v{} x", i));
+    EXPECT_NE(caller.run("BEGIN").find("READY T"), std::string::npos);
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    ASSERT_FALSE(fleet.fronts->process(0).awaitJsonLine("sessions").empty());
+    fleet.runOnStandInThread([&] {
+        for (const auto& member : fleet.members)
+            member->setResponseDelay(std::chrono::milliseconds(300));
+    });
+    // Transactions have 1 s of `drain_seconds`, and the process ends after 1.7 s.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    std::string response = caller.run("READ seat");
+    EXPECT_NE(response.find("ERR ABORTED"), std::string::npos) << response;
+    EXPECT_NE(response.find("READY E"), std::string::npos) << response;
+    EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0);
+    std::string output = fleet.fronts->process(0).output();
+    EXPECT_NE(output.find(R"("sessions_cut":"0")"), std::string::npos) << output;
+}
