Signals are handled before the first listener opens and until the process has ended

What callers would see: an instance that gets SIGHUP or SIGTERM right after its start, when its listeners are open already, is ended by the signal's default action, with the sessions that it has accepted. One that gets a second SIGTERM in the moment of its end exits with a signal instead of status 0.

Cause: the handlers were installed by coroutines that ran first when the control thread did, after the listeners were opened, and were removed when awaitShutdownSignal returned, before the process's end.

Change: the signal sets are members of the instance, created with it; a signal that comes before they are waited for is kept by them. Before that, while the settings are read, and after the instance's end, `front` holds the signals back.

Not covered: between the start of the program and its main function the default action still applies.

--- a/src/catkinlock/front_command.cpp
+++ b/src/catkinlock/front_command.cpp
@@ -6,6 +6,7 @@
 #include "libsession/front_instance.h"
 #include "platform/platform.h"
 #include <array>
+#include <csignal>
 #include <fmt/format.h>
 
 namespace catkinlock {
@@ -30,6 +31,17 @@
         return nullptr;
     }
 
+    // Holds back the signals that an instance handles, or lets them through again, on this thread and on those that it
+    // starts later.
+    void holdSignals(bool hold)
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        for (int signal : { SIGTERM, SIGINT, SIGHUP })
+            sigaddset(&signals, signal);
+        pthread_sigmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+    }
+
     // Prints every error to standard error.
     std::optional<FrontSettings> readFrontSettings(const std::string& path)
     {
@@ -48,6 +60,9 @@
 
 int runFront(const CommandOptions& options)
 {
+    // The default effect of these signals would end the process before the instance handles them and after it has
+    // ended.
+    holdSignals(true);
     std::string path = options.settingsFile;
     auto settings = readFrontSettings(path);
     if (!settings)
@@ -59,7 +74,11 @@
         return ExitInvalid;
     }
     setLogInstance(settings->name);
-    return FrontInstance(*settings, makePlatform, [path] { return readFrontSettings(path); }).run();
+    FrontInstance instance(*settings, makePlatform, [path] { return readFrontSettings(path); });
+    holdSignals(false);
+    int status = instance.run();
+    holdSignals(true);
+    return status;
 }
 
 } // namespace catkinlock
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -120,6 +120,10 @@
     std::function<std::optional<FrontSettings>()> readSettings;
     // Context of the control thread: metadata store, peers, settings, promotions.
     asio::io_context control { 1 };
+    // Open for as long as this object exists, so that no signal has its default effect meanwhile, which would end the
+    // process.
+    asio::signal_set shutdownSignals { this->control, SIGTERM, SIGINT };
+    asio::signal_set reloadSignals { this->control, SIGHUP };
     // Context of the request thread: sessions and connections to members.
     asio::io_context requests { 1 };
     std::shared_ptr<TimeSource> time = std::make_shared<SystemTime>(this->control);
@@ -572,16 +576,14 @@
 
 asio::awaitable<void> FrontInstance::Parts::awaitShutdownSignal()
 {
-    asio::signal_set signals(this->control, SIGTERM, SIGINT);
-    co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await this->shutdownSignals.async_wait(asio::as_tuple(asio::use_awaitable));
     co_await this->drain();
 }
 
 asio::awaitable<void> FrontInstance::Parts::awaitReloadSignal()
 {
-    asio::signal_set signals(this->control, SIGHUP);
     for (;;) {
-        co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await this->reloadSignals.async_wait(asio::as_tuple(asio::use_awaitable));
         this->reload("signal");
     }
 }
--- a/src/libsession/front_instance.h
+++ b/src/libsession/front_instance.h
@@ -9,7 +9,8 @@
 namespace catkinlock {
 
 /// An entry instance that serves callers' sessions: it listens for callers, follows the metadata store, exchanges
-/// messages with other instances and takes part in replacing primaries.
+/// messages with other instances and takes part in replacing primaries. Handles SIGTERM, SIGINT and SIGHUP while it
+/// exists; signals that arrive before `run` take effect then.
 class FrontInstance {
 public:
     /// `readSettings` reads the settings file again; it returns std::nullopt if the settings are invalid.
--- a/src/standin/front_fleet.cpp
+++ b/src/standin/front_fleet.cpp
@@ -51,10 +51,15 @@
     return this->awaitReady(this->processes.size() - 1);
 }
 
-bool FrontFleet::restart(std::size_t i)
+void FrontFleet::relaunch(std::size_t i)
 {
     this->processes[i]->kill();
     this->launch(i);
+}
+
+bool FrontFleet::restart(std::size_t i)
+{
+    this->relaunch(i);
     return this->awaitReady(i);
 }
 
--- a/src/standin/front_fleet.h
+++ b/src/standin/front_fleet.h
@@ -30,6 +30,10 @@
     void launch(std::size_t);
     /// Ends an instance at once and starts it again. False if it did not get ready.
     bool restart(std::size_t);
+    /// Ends an instance at once and starts it again, without waiting for anything.
+    void relaunch(std::size_t);
+    /// Path of an instance's settings file.
+    const std::string& settingsPath(std::size_t i) const { return this->settingsPaths[i]; }
     Process& process(std::size_t i) { return *this->processes[i]; }
     /// "ip:port" at which an instance accepts callers.
     const std::string& callerAddress(std::size_t i) const { return this->callerAddresses[i]; }
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -1,6 +1,7 @@
 // Sessions over the line protocol through real instances. The group's members and the platform's key-value store are
 // stand-ins inside this program.
 
+#include "catkinlock/address.h"
 #include "standin/front_fleet.h"
 #include "standin/kv_service.h"
 #include "standin/line_caller.h"
@@ -9,8 +10,10 @@
 #include <boost/asio.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <fstream>
 #include <future>
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <thread>
 
 using namespace catkinlock;
@@ -680,3 +683,111 @@
     std::string output = fleet.fronts->process(0).output();
     EXPECT_NE(output.find(R"("sessions_cut":"0")"), std::string::npos) << output;
 }
+
+namespace {
+
+// Starts an instance again and waits until it accepts connections of callers. Another listener of it is open before.
+void relaunchUntilListening(TestFleet& fleet, std::size_t i)
+{
+    fleet.fronts->relaunch(i);
+    asio::io_context context;
+    boost::system::error_code error = asio::error::connection_refused;
+    while (error && fleet.fronts->process(i).isRunning()) {
+        asio::ip::tcp::socket socket(context);
+        socket.connect(parseAddress(fleet.callerAddresses[i]), error);
+    }
+}
+
+// True until the process has ended. Does not reap it, so that its id stays its own.
+bool hasNotEnded(const Process& process)
+{
+    siginfo_t ended {};
+    return !waitid(P_PID, static_cast<id_t>(process.pid()), &ended, WEXITED | WNOHANG | WNOWAIT) && !ended.si_pid;
+}
+
+} // namespace
+
+// The platform may signal changed settings while an instance starts. An instance that did not handle the signal yet
+// would be ended by it.
+TEST(Signals, AReloadThatIsAskedForDuringTheStartDoesNotEndTheInstance)
+{
+    TestFleet fleet;
+    for (int round = 0; round < 12; ++round) {
+        relaunchUntilListening(fleet, 0);
+        std::this_thread::sleep_for(std::chrono::microseconds(round % 4 * 200));
+        fleet.fronts->process(0).sendSignal(SIGHUP);
+        EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("ready").empty()) << "round " << round;
+        EXPECT_TRUE(hasNotEnded(fleet.fronts->process(0))) << "round " << round;
+    }
+}
+
+// An instance that is stopped while it starts ends as every other one.
+TEST(Signals, AnInstanceThatIsStoppedDuringItsStartEndsByItself)
+{
+    TestFleet fleet;
+    for (int round = 0; round < 8; ++round) {
+        relaunchUntilListening(fleet, 0);
+        std::this_thread::sleep_for(std::chrono::microseconds(round % 4 * 200));
+        fleet.fronts->process(0).sendSignal(SIGTERM);
+        EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0) << "round " << round;
+    }
+    // Without the store it does not get as far as being ready.
+    fleet.runOnStandInThread([&] { fleet.store->setUnavailable(true); });
+    relaunchUntilListening(fleet, 0);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0);
+}
+
+// A second signal to stop, at whatever moment up to the end, changes nothing.
+TEST(Signals, AnInstanceThatIsStoppedAgainAndAgainEndsByItself)
+{
+    TestFleet fleet;
+    for (int round = 0; round < 6; ++round) {
+        LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+        runUntilNotBusy(caller, "READ seat");
+        caller.run("BEGIN");
+        while (hasNotEnded(fleet.fronts->process(0))) {
+            fleet.fronts->process(0).sendSignal(SIGTERM);
+            std::this_thread::sleep_for(std::chrono::microseconds(20));
+        }
+        EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0) << "round " << round;
+        ASSERT_TRUE(fleet.fronts->restart(0));
+    }
+}
+
+// The settings file may be half-written or missing at the moment of a reload. The former settings stay in force.
+TEST(Signals, AReloadOfUnreadableSettingsChangesNothing)
+{
+    TestFleet fleet;
+    const std::string& path = fleet.fronts->settingsPath(0);
+    std::ifstream file(path);
+    std::string settings((std::istreambuf_iterator<char>(file)), {});
+    // Truncated in a table, in a text, before the last table; times that can't be kept together; nothing; no file.
+    std::vector<std::string> contents { settings.substr(0, settings.find("peer")), settings.substr(0, 20),
+        settings.substr(0, settings.find("[fleet]")), settings + "apply_ms = 500\nrevocation_ms = 500\n", "" };
+    auto reload = [&] {
+        fleet.fronts->process(0).sendSignal(SIGHUP);
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    };
+    auto reloadAll = [&] {
+        for (const std::string& content : contents) {
+            std::ofstream(path) << content;
+            reload();
+        }
+        std::remove(path.c_str());
+        reload();
+    };
+    LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+    reloadAll();
+    EXPECT_NE(runUntilNotBusy(caller, "READ seat").find("DONE s"), std::string::npos);
+    caller.run("BEGIN");
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    reloadAll();
+    EXPECT_NE(caller.run("WRITE seat two").find("DONE s"), std::string::npos);
+    EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos);
+    EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0);
+    EXPECT_EQ(fleet.fronts->process(0).output().find("settings applied"), std::string::npos);
+    std::ofstream(path) << settings;
+    ASSERT_TRUE(fleet.fronts->restart(0));
+}
