Tests: all instances are killed right after a commit and a configuration were acknowledged

No machine has a disk, so the store and the members alone bring everything back.

SessionsAfterALossOfPower.CommitsAndConfigurationsAreInForce: four times, a write is acknowledged, then a configuration is written and both instances get SIGKILL in the same action of the stand-ins' thread, so that no instance can have acted on it. After the restart the write is read back, the added route is served, the dropped route is unknown, the added key is accepted and the withdrawn one refused, writes succeed at both instances, and registrations and rate slots have holders again.

Promotions.NoCommitIsLostWhenAllInstancesRestartAtOnce: three instances get SIGKILL while one replica lags, and the primary is dark when they are back. No instance remembers a position that it acknowledged.

--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -302,6 +302,28 @@
     EXPECT_NE(response.find("ERR ABORTED"), std::string::npos) << response;
 }
 
+// Guards against LOST after a loss of power: all instances restart without a memory of the positions that they
+// acknowledged, and then the primary is down while one replica lags.
+TEST(Promotions, NoCommitIsLostWhenAllInstancesRestartAtOnce)
+{
+    PromotionFleet fleet(3);
+    const auto& members = fleet.group.members();
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(true); });
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
+    for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+        fleet.fronts->process(i).kill();
+    fleet.runOnStandInThread([&] { members[0]->goDark(milliseconds(15000)); });
+    for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+        fleet.fronts->relaunch(i);
+    for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+        ASSERT_FALSE(fleet.fronts->process(i).awaitJsonLine("ready").empty());
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(false); });
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last"));
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 // Guards against LOST at a promotion in what users saw with real processes: a replica that lags is promoted by a
 // planned handover from a primary that has stepped down, while the third member has no entry. Plays seed 2002, or the
 // seeds from PROMOTION_SEED on, PROMOTION_SEEDS of them.
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -791,3 +791,45 @@
     std::ofstream(path) << settings;
     ASSERT_TRUE(fleet.fronts->restart(0));
 }
+
+// No instance has a disk. What was acknowledged before all of them lose power at once is with the members and in the
+// store: no instance could act on the configuration before.
+TEST(SessionsAfterALossOfPower, CommitsAndConfigurationsAreInForce)
+{
+    TestFleet fleet;
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    EXPECT_TRUE(openUntilKnown(fleet.callerAddresses[0], "primary-db", "key-1").starts_with("READY"));
+    for (int round = 1; round <= 4; ++round) {
+        std::string oldKey = fmt::format("key-{}", round);
+        std::string newKey = fmt::format("key-{}", round + 1);
+        std::string kept = fmt::format("kept-{}", round);
+        {
+            LineCaller caller(fleet.callerAddresses[1], "read_your_writes-db", oldKey);
+            ASSERT_NE(writeUntilDone(caller, "WRITE seat " + kept, maxWaitAttempts).find("DONE s"), std::string::npos);
+        }
+        // Each configuration adds a key and a route and takes away a key and a route.
+        std::string added = round % 2 ? "bounded_staleness" : "primary";
+        std::string dropped = round % 2 ? "primary" : "bounded_staleness";
+        fleet.runOnStandInThread([&] {
+            fleet.store->put("op/config",
+                configurationDocument(round * 3 + 2, fmt::format("\"{}\"", newKey), { "read_your_writes", added }));
+            for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+                fleet.fronts->process(i).kill();
+        });
+        for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+            fleet.fronts->relaunch(i);
+        for (std::size_t i = 0; i < fleet.fronts->size(); ++i)
+            ASSERT_FALSE(fleet.fronts->process(i).awaitJsonLine("ready").empty());
+        for (const std::string& address : fleet.callerAddresses) {
+            EXPECT_TRUE(openUntilKnown(address, added + "-db", newKey).starts_with("READY"));
+            EXPECT_TRUE(LineCaller(address, dropped + "-db", newKey).openResponse.starts_with("ERR NODB"));
+            LineCaller withdrawn(address, "read_your_writes-db", oldKey);
+            std::string response = withdrawn.openResponse + runUntilNotBusy(withdrawn, "READ seat");
+            EXPECT_NE(response.find("ERR UNAUTH"), std::string::npos) << response;
+            LineCaller caller(address, "read_your_writes-db", newKey);
+            EXPECT_NE(runUntilNotBusy(caller, "READ seat").find("ROW " + kept), std::string::npos);
+            EXPECT_NE(writeUntilDone(caller, "WRITE other x", maxWaitAttempts).find("DONE s"), std::string::npos);
+        }
+        EXPECT_TRUE(fleet.awaitRegistrations());
+    }
+}
