--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -787,7 +787,11 @@
     EXPECT_NE(caller.run("WRITE seat two").find("DONE s"), std::string::npos);
     EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos);
     EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0);
-    EXPECT_EQ(fleet.fronts->process(0).output().find("settings applied"), std::string::npos);
+    std::string output = fleet.fronts->process(0).output();
+    EXPECT_EQ(output.find("settings applied"), std::string::npos) << output;
+    std::string refused = "the previous ones stay in force";
+    EXPECT_LT(output.find(refused), output.find("\"draining\"")) << output;
+    EXPECT_NE(output.find(refused, output.find("\"draining\"")), std::string::npos) << output;
     std::ofstream(path) << settings;
     ASSERT_TRUE(fleet.fronts->restart(0));
 }
