Give the notice at once when no statement is started any more

After 0.7 of the drain time a session waited for 200 ms of quiet before its caller was told that it ends, and for 500 ms of the caller afterwards, so that the process ended with the session open: Sessions.AReplyComesBeforeAnInstanceEndsAlthoughItsMemberIsSlow failed with sessions_cut 1 (the reply itself arrived). From then on the notice now goes with the reply, and sessions whose callers were told are closed before the process ends.

--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -71,7 +71,7 @@
     if (!drain || !waits)
         return;
     if (this->noticeGivenAt) {
-        if (now > *this->noticeGivenAt + noticeTimeout)
+        if (now > std::min(*this->noticeGivenAt + noticeTimeout, drain->repliesEnd))
             this->cancelRead();
         return;
     }
@@ -79,7 +79,9 @@
         this->runner.abandonUnreported();
     bool idle = this->runner.state() == TransactionState::Idle;
     TimePoint due = idle ? drain->idleSessionsEnd : drain->statementsEnd;
-    if (now <= due || now < this->quietSince + minQuietTime)
+    // A caller that is quiet only for a moment is likely to send a statement, as long as there is time to run it.
+    TimePoint quietEnough = std::min(this->quietSince + minQuietTime, drain->statementsEnd);
+    if (now <= std::max(due, quietEnough))
         return;
     this->noticeDue = true;
     this->cancelRead();
@@ -137,7 +139,9 @@
     TargetReply reply = co_await this->runStatement(std::move(statement));
     std::string bytes;
     this->context->protocol->appendReply(bytes, reply);
-    if (this->context->drain && inOperation && this->runner.state() == TransactionState::Idle)
+    const auto& drain = this->context->drain;
+    bool operationEnded = inOperation && this->runner.state() == TransactionState::Idle;
+    if (drain && (operationEnded || Clock::now() > drain->statementsEnd))
         this->appendNotice(bytes);
     co_return co_await this->write(std::move(bytes));
 }
