--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -684,6 +684,41 @@
     EXPECT_NE(output.find(R"("sessions_cut":"0")"), std::string::npos) << output;
 }
 
+// The same for a read that its gateway, one of the two instances, does not serve in time. The leaving instance then
+// runs it itself, with what is left of the time.
+TEST(Sessions, AReplyComesBeforeAnInstanceEndsAlthoughItsGatewayIsLate)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    for (std::size_t leaving = 0; leaving < fleet.fronts->size(); ++leaving) {
+        LineCaller caller(fleet.callerAddresses[leaving], "primary-db", "key-1");
+        for (int i = 0; i < 5; ++i)
+            caller.run(fmt::format("SET v{} x", i));
+        // The instance and the gateway then have an idle connection to the primary each, without the values.
+        LineCaller other(fleet.callerAddresses[leaving], "primary-db", "key-1");
+        runUntilNotBusy(other, "WRITE seat one");
+        runUntilNotBusy(other, "READ seat");
+        fleet.fronts->process(leaving).sendSignal(SIGTERM);
+        ASSERT_FALSE(fleet.fronts->process(leaving).awaitJsonLine("sessions").empty());
+        fleet.runOnStandInThread([&] {
+            for (const auto& member : fleet.members)
+                member->setResponseDelay(std::chrono::milliseconds(400));
+        });
+        // An idle session is kept for 0.5 s.
+        std::string response = caller.run("READ seat");
+        EXPECT_NE(response.find("ERR BUSY"), std::string::npos) << response;
+        EXPECT_NE(response.find("READY I"), std::string::npos) << response;
+        EXPECT_EQ(fleet.fronts->process(leaving).awaitExit(10), 0);
+        std::string output = fleet.fronts->process(leaving).output();
+        EXPECT_NE(output.find(R"("sessions_cut":"0")"), std::string::npos) << output;
+        fleet.runOnStandInThread([&] {
+            for (const auto& member : fleet.members)
+                member->setResponseDelay(std::chrono::milliseconds(0));
+        });
+        ASSERT_TRUE(fleet.fronts->restart(leaving));
+    }
+}
+
 namespace {
 
 // Starts an instance again and waits until it accepts connections of callers. Another listener of it is open before.
