Promote no replica from a first membership that may lack members

Callers would see commits that were acknowledged to them disappear (LOST) when a primary fails in the first seconds of a fleet or of a service, while the replica that has their commits is cut off from the store and the other one lags.

Cause: MembershipKeeper writes the first membership of a group from the members listed at that moment, and choosePromotion took it for the whole group.

Change: a membership says whether it is complete. An instance writes that it is once it has observed the group for 10 s (absenceLimit) by its own clock, from one confirmed view to another, with no gap longer than 3 s, less than an entry lasts, and with a member listed in each (GroupObservation); nextMembership then also adds the runs that came and went meanwhile. Until then choosePromotion trusts only the log of the primary in use (hasEveryCommit), not the number of uncovered runs. The mark is stored, so instances that start or join later don't wait; one that knew it before a restore writes it again. No two machines' clocks are compared.

Why it works: a member that still has its log is out of sight for 10 s at most, so it is listed within the observation and in the membership before that counts as complete. Later members are added as before.

Cost: a group whose primary dies and doesn't answer in the first 10 s of its fleet or service waits for the rest of them. One more write of a membership, once.

Changed check: MembershipSchedules.AMemberIsPromotedOnceAllRespond also draws groups of which members are out of sight at first; a group with all listed is one of its cases, as before. SimulatedGroup keeps its membership by nextMembership.

Open: a run that starts, receives a commit and goes out of sight while no instance runs is unknown, also to a complete membership; and a fleet that starts on a restored older copy with none that knew the newer one trusts the mark of the older one.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -532,7 +532,7 @@
         if (this->lifecycle.state() == InstanceLifecycle::State::Serving || this->promoter->isLeader())
             this->promoter->checkGroups(Clock::now());
         if (this->lifecycle.state() == InstanceLifecycle::State::Serving)
-            this->groupMemberships->check(Clock::now());
+            this->groupMemberships->check(Clock::now(), this->freshness->confirmed());
     }
 }
 
--- a/src/libsession/group_membership.cpp
+++ b/src/libsession/group_membership.cpp
@@ -41,7 +41,7 @@
     json::array runs;
     for (const MemberRun& run : membership.runs)
         runs.push_back({ { "id", run.id }, { "started_at", run.startedAt }, { "address", run.address } });
-    return json::serialize(json::object { { "runs", runs } });
+    return json::serialize(json::object { { "runs", runs }, { "complete", membership.isComplete } });
 }
 
 std::optional<GroupMembership> parseGroupMembership(const std::string& text)
@@ -53,6 +53,8 @@
     if (!runs || !runs->is_array())
         return std::nullopt;
     GroupMembership membership;
+    const json::value* complete = object->if_contains("complete");
+    membership.isComplete = complete && complete->is_bool() && complete->get_bool();
     for (const json::value& item : runs->get_array()) {
         auto run = parseRun(item);
         if (!run)
--- a/src/libsession/group_membership.h
+++ b/src/libsession/group_membership.h
@@ -33,6 +33,9 @@
 /// known to hold all that it may have held.
 struct GroupMembership {
     std::set<MemberRun> runs;
+    /// True once an instance has observed the group for as long as a member may be out of sight. Until then, members
+    /// that were out of sight when the membership was first written may be missing.
+    bool isComplete = false;
 
     bool operator==(const GroupMembership&) const = default;
 };
@@ -43,7 +46,8 @@
 
 /// Serializes a membership as JSON.
 std::string writeGroupMembership(const GroupMembership&);
-/// Parses the JSON of a membership. Returns std::nullopt if the text is not JSON or a run lacks a field.
+/// Parses the JSON of a membership. Returns std::nullopt if the text is not JSON or a run lacks a field. A membership
+/// that does not say that it is complete is not.
 std::optional<GroupMembership> parseGroupMembership(const std::string&);
 
 } // namespace catkinlock
--- a/src/libsession/membership_change.cpp
+++ b/src/libsession/membership_change.cpp
@@ -4,6 +4,48 @@
 
 namespace catkinlock {
 
+namespace {
+
+    // Shorter than the time for which a member's entry lasts, so that no entry comes and goes in between.
+    constexpr Milliseconds maxObservationGap { 3000 };
+
+} // namespace
+
+void GroupObservation::record(
+    const GroupMembership& membership, const std::vector<TargetRecord>& members, TimePoint confirmedAt)
+{
+    bool isContinuous = this->begunAt != TimePoint() && confirmedAt - this->lastAt <= maxObservationGap;
+    if (!isContinuous)
+        this->begunAt = confirmedAt;
+    this->lastAt = confirmedAt;
+    // While no member can be seen, none that was out of sight before is known to have come back.
+    if (members.empty())
+        this->begunAt = TimePoint();
+    for (const TargetRecord& member : members)
+        this->missingRuns.insert(runOf(member));
+    std::erase_if(this->missingRuns,
+        [&membership](const MemberRun& run) { return membership.isComplete || membership.runs.count(run); });
+}
+
+bool GroupObservation::isComplete() const
+{
+    return this->begunAt != TimePoint() && this->lastAt - this->begunAt >= absenceLimit;
+}
+
+GroupMembership nextMembership(
+    const GroupMembership& stored, const std::vector<TargetRecord>& members, const GroupObservation& observation)
+{
+    GroupMembership next = stored;
+    next.runs.merge(runsToAdd(next, members));
+    if (!next.isComplete) {
+        next.runs.insert(observation.unrecorded().begin(), observation.unrecorded().end());
+        next.isComplete = observation.isComplete();
+    }
+    for (const MemberRun& run : continuedRuns(next, members))
+        next.runs.erase(run);
+    return next;
+}
+
 std::set<MemberRun> runsToAdd(const GroupMembership& membership, const std::vector<TargetRecord>& members)
 {
     std::set<MemberRun> added;
--- a/src/libsession/membership_change.h
+++ b/src/libsession/membership_change.h
@@ -13,6 +13,33 @@
 /// The runs of these members that the membership lacks.
 std::set<MemberRun> runsToAdd(const GroupMembership&, const std::vector<TargetRecord>& members);
 
+/// Members that are cut off or down and then come back with their logs are out of sight for at most this time.
+inline constexpr Milliseconds absenceLimit { 10000 };
+
+/// Measures for how long this instance has observed a group without a gap, by its own clock. A member that was out of
+/// sight at the beginning is known once that has lasted for `absenceLimit`.
+class GroupObservation {
+public:
+    /// Records the group's members in a view that is complete up to `confirmedAt`, and the membership in that view. A
+    /// view in which no member is listed, and a gap in which an entry may have come and gone, begin a new observation.
+    void record(const GroupMembership&, const std::vector<TargetRecord>& members, TimePoint confirmedAt);
+    /// True if a run that is neither in the membership nor in `unrecorded` holds no acknowledged commit.
+    bool isComplete() const;
+    /// Runs of the observation that an incomplete membership lacks, those of members that are gone again included.
+    const std::set<MemberRun>& unrecorded() const { return this->missingRuns; }
+
+private:
+    // The first and the last view of the observation; the clock's epoch if there is none.
+    TimePoint begunAt;
+    TimePoint lastAt;
+    std::set<MemberRun> missingRuns;
+};
+
+/// The membership that follows from the stored one: it has the runs of the present members and of those observed, and
+/// lacks those that one of them continues.
+GroupMembership nextMembership(
+    const GroupMembership& stored, const std::vector<TargetRecord>& members, const GroupObservation&);
+
 /// The runs of the membership that one of these members continues. They need not be kept.
 std::set<MemberRun> continuedRuns(const GroupMembership&, const std::vector<TargetRecord>& members);
 
--- a/src/libsession/membership_keeper.cpp
+++ b/src/libsession/membership_keeper.cpp
@@ -15,9 +15,6 @@
     constexpr Milliseconds rankDelay { 2000 };
     // Between two attempts of this instance to change one membership.
     constexpr Milliseconds attemptInterval { 1000 };
-    // A member without an entry that does not respond is taken to have ended after this time. Longer than members are
-    // cut off or down and then come back with their logs.
-    constexpr Milliseconds absenceLimit { 10000 };
 
     std::string idsOf(const std::set<MemberRun>& runs)
     {
@@ -46,14 +43,16 @@
 {
 }
 
-bool MembershipKeeper::isDue(const std::string& service, const FleetView& view, TimePoint now)
+bool MembershipKeeper::isDue(const std::string& service, const FleetView& view, TimePoint now, TimePoint confirmedAt)
 {
     GroupWatch& watch = this->watches[service];
     auto members = view.membersOf(service);
     auto known = view.memberships.find(service);
     GroupMembership membership = known == view.memberships.end() ? GroupMembership() : known->second;
     watch.absent.observe(membership, members, now);
-    bool differs = !watch.absent.since().empty() || !runsToAdd(membership, members).empty();
+    watch.observation.record(membership, members, confirmedAt);
+    bool completes = !membership.isComplete && watch.observation.isComplete();
+    bool differs = completes || !watch.absent.since().empty() || !runsToAdd(membership, members).empty();
     if (!differs || members.empty()) {
         watch.differsSince = TimePoint();
         return false;
@@ -64,11 +63,11 @@
     return !watch.changing && now >= watch.nextAttemptAt && now - watch.differsSince >= rankDelay * rank;
 }
 
-void MembershipKeeper::check(TimePoint now)
+void MembershipKeeper::check(TimePoint now, TimePoint confirmedAt)
 {
     auto view = this->parts.view->read();
     for (const auto& [service, pool] : view->tables->pools) {
-        if (!this->isDue(service, *view, now))
+        if (!this->isDue(service, *view, now, confirmedAt))
             continue;
         this->watches[service].changing = true;
         spawn(this->context, [self = this->shared_from_this(), service = service] { return self->change(service); });
@@ -92,11 +91,8 @@
     auto stored = co_await this->readStored(service);
     if (!stored)
         co_return;
-    GroupMembership next = stored->membership;
-    auto present = this->parts.view->read()->membersOf(service);
-    next.runs.merge(runsToAdd(next, present));
-    for (const MemberRun& run : continuedRuns(next, present))
-        next.runs.erase(run);
+    GroupMembership next = nextMembership(
+        stored->membership, this->parts.view->read()->membersOf(service), this->watches[service].observation);
     if (next != stored->membership) {
         co_await this->write(service, *stored, next);
         co_return;
@@ -202,6 +198,7 @@
         next.runs.end(), std::inserter(removed, removed.end()));
     writeLog(LogLevel::Info, "membership_changed",
         { { "service", service }, { "added", idsOf(added) }, { "removed", idsOf(removed) },
+            { "complete", next.isComplete ? "true" : "false" },
             { "outcome", swapped && swapped->swapped ? "written" : "not_written" } });
 }
 
--- a/src/libsession/membership_keeper.h
+++ b/src/libsession/membership_keeper.h
@@ -15,9 +15,10 @@
 class MemberCommands;
 class TargetProtocol;
 
-/// Keeps the memberships in the metadata store up to date: adds the runs of members that register, and removes those of
-/// members that have ended, once the others hold every commit that these may have held. The first instance in a
-/// service's order does this; the others follow if a change stays undone. Runs on the control thread.
+/// Keeps the memberships in the metadata store up to date: adds the runs of members that register, records when none
+/// can be missing, and removes those of members that have ended, once the others hold every commit that these may have
+/// held. The first instance in a service's order does this; the others follow if a change stays undone. Runs on the
+/// control thread.
 class MembershipKeeper : public std::enable_shared_from_this<MembershipKeeper> {
 public:
     struct Parts {
@@ -30,14 +31,15 @@
 
     MembershipKeeper(boost::asio::io_context&, Parts);
 
-    /// Checks every group and starts a change of its membership where one is due. Call it every few hundred
-    /// milliseconds.
-    void check(TimePoint now);
+    /// Checks every group and starts a change of its membership where one is due. The view is complete up to
+    /// `confirmedAt`. Call it every few hundred milliseconds.
+    void check(TimePoint now, TimePoint confirmedAt);
 
 private:
     struct GroupWatch {
         AbsentRuns absent;
-        // Since when the membership differs from the members listed; the clock's epoch if it does not.
+        GroupObservation observation;
+        // Since when the membership differs from what is observed; the clock's epoch if it does not.
         TimePoint differsSince;
         TimePoint nextAttemptAt;
         bool changing = false;
@@ -48,7 +50,7 @@
         std::int64_t revision = 0;
     };
 
-    bool isDue(const std::string& service, const FleetView&, TimePoint now);
+    bool isDue(const std::string& service, const FleetView&, TimePoint now, TimePoint confirmedAt);
     boost::asio::awaitable<void> change(std::string service);
     boost::asio::awaitable<void> addOrRemove(std::string service);
     boost::asio::awaitable<std::optional<StoredMembership>> readStored(std::string service);
--- a/src/libsession/membership_test.cpp
+++ b/src/libsession/membership_test.cpp
@@ -40,6 +40,16 @@
     EXPECT_EQ(parseGroupMembership(R"({"runs":[{"id":"a","started_at":1}]})"), std::nullopt);
 }
 
+TEST(GroupMembership, IsCompleteOnlyIfItSaysSo)
+{
+    GroupMembership membership { { { "a", 1, "10.0.0.1:5" } }, true };
+    EXPECT_EQ(parseGroupMembership(writeGroupMembership(membership)), membership);
+    auto earlier = parseGroupMembership(R"({"runs":[{"id":"a","started_at":1,"address":"10.0.0.1:5"}]})");
+    ASSERT_TRUE(earlier);
+    EXPECT_EQ(earlier->runs, membership.runs);
+    EXPECT_FALSE(earlier->isComplete);
+}
+
 TEST(MembershipChange, AMemberThatStartsAgainIsAddedAsAnotherRun)
 {
     GroupMembership membership { { runOf(member("a", "10.0.0.1:5", 1)) } };
@@ -105,6 +115,102 @@
     EXPECT_TRUE(absent.since().empty());
 }
 
+// Guards against LOST at a promotion: the members listed first count as the whole group. The replica b has every commit
+// and is out of sight when the group is first observed.
+TEST(GroupObservation, AMemberThatWasOutOfSightBeforeItMayHoldTheOnlyCopyOfACommit)
+{
+    TimePoint start { std::chrono::hours(1) };
+    std::vector<TargetRecord> listed { member("a", "10.0.0.1:5", 1), member("c", "10.0.0.3:5", 1) };
+    auto chosenWith = [&listed](const GroupMembership& membership) {
+        std::vector<PromotionCandidate> candidates { { "a", true, false, false, {} },
+            { "c", false, false, true, report(false, 1, 7) } };
+        addAbsentRuns(candidates, listed, membership, { GroupRecord::State::Replacing, "a", 1 });
+        PromotionTerms terms;
+        terms.mayLackRuns = !membership.isComplete;
+        return choosePromotion(candidates, terms);
+    };
+    GroupObservation observation;
+    GroupMembership membership;
+    for (Milliseconds passed(0); passed < absenceLimit; passed += Milliseconds(100)) {
+        observation.record(membership, listed, start + passed);
+        membership = nextMembership(membership, listed, observation);
+        ASSERT_EQ(membership.runs.size(), 2u);
+        ASSERT_EQ(chosenWith(membership), std::nullopt) << passed.count() << " ms";
+    }
+    // If it still ran, it would have been listed by now.
+    observation.record(membership, listed, start + absenceLimit);
+    membership = nextMembership(membership, listed, observation);
+    EXPECT_EQ(chosenWith(membership), "c");
+}
+
+// An instance that was suspended or cut off, and one whose group had no entry, may have missed a member.
+TEST(GroupObservation, BeginsAgainAfterAGap)
+{
+    TimePoint start { std::chrono::hours(1) };
+    std::vector<TargetRecord> listed { member("a", "10.0.0.1:5", 1) };
+    GroupObservation cutOff;
+    GroupObservation unlisted;
+    for (Milliseconds passed(0); passed < absenceLimit; passed += Milliseconds(1000)) {
+        cutOff.record({}, listed, start + passed);
+        unlisted.record({}, passed == Milliseconds(4000) ? std::vector<TargetRecord>() : listed, start + passed);
+    }
+    cutOff.record({}, listed, start + absenceLimit + Milliseconds(2500));
+    EXPECT_FALSE(cutOff.isComplete());
+    EXPECT_FALSE(unlisted.isComplete());
+    unlisted.record({}, listed, start + absenceLimit + Milliseconds(2000));
+    EXPECT_FALSE(unlisted.isComplete());
+    unlisted.record({}, listed, start + absenceLimit + Milliseconds(5000));
+    EXPECT_TRUE(unlisted.isComplete());
+}
+
+TEST(GroupObservation, AViewThatIsNotConfirmedAnyMoreShowsNothing)
+{
+    TimePoint start { std::chrono::hours(1) };
+    GroupObservation observation;
+    for (int i = 0; i < 200; ++i)
+        observation.record({}, { member("a", "10.0.0.1:5", 1) }, start);
+    EXPECT_FALSE(observation.isComplete());
+    // The views before the first confirmation are empty.
+    observation.record({}, { member("a", "10.0.0.1:5", 1) }, TimePoint());
+    observation.record({}, { member("a", "10.0.0.1:5", 1) }, start + absenceLimit);
+    EXPECT_FALSE(observation.isComplete());
+}
+
+TEST(GroupObservation, AMemberThatCameAndWentIsPartOfTheMembership)
+{
+    TimePoint start { std::chrono::hours(1) };
+    TargetRecord a = member("a", "10.0.0.1:5", 1);
+    TargetRecord b = member("b", "10.0.0.2:5", 1);
+    GroupObservation observation;
+    GroupMembership membership { { runOf(a) } };
+    observation.record(membership, { a, b }, start);
+    // The membership could not be written meanwhile.
+    for (Milliseconds passed(2000); passed <= absenceLimit; passed += Milliseconds(2000))
+        observation.record(membership, { a }, start + passed);
+    GroupMembership next = nextMembership(membership, { a }, observation);
+    EXPECT_EQ(next, (GroupMembership { { runOf(a), runOf(b) }, true }));
+    // Afterwards it is removed like any other.
+    observation.record(next, { a }, start + absenceLimit);
+    EXPECT_EQ(nextMembership({ { runOf(a) }, true }, { a }, observation), (GroupMembership { { runOf(a) }, true }));
+}
+
+// An instance that joins or starts again does not make the others wait, and a program that does not write the field
+// makes them wait no longer than they have observed the group.
+TEST(GroupObservation, AMembershipStaysComplete)
+{
+    TimePoint start { std::chrono::hours(1) };
+    TargetRecord a = member("a", "10.0.0.1:5", 1);
+    TargetRecord b = member("b", "10.0.0.2:5", 1);
+    GroupObservation joined;
+    joined.record({ { runOf(a) }, true }, { a, b }, start);
+    EXPECT_EQ(
+        nextMembership({ { runOf(a) }, true }, { a, b }, joined), (GroupMembership { { runOf(a), runOf(b) }, true }));
+    GroupObservation observation;
+    for (Milliseconds passed(0); passed <= absenceLimit * 2; passed += Milliseconds(1000))
+        observation.record({ { runOf(a) }, passed >= absenceLimit }, { a }, start + passed);
+    EXPECT_TRUE(nextMembership({ { runOf(a) } }, { a }, observation).isComplete);
+}
+
 // Guards against LOST at a promotion, under any mix of members that lapse, come back, start empty, lag, leave and join,
 // and of replacements that are abandoned and continued by leaders that know no more than the store.
 RC_GTEST_PROP(MembershipSchedules, NoPromotedLogLacksAnAcknowledgedCommit, ())
@@ -119,11 +225,26 @@
     RC_ASSERT(group.lostCommits() == 0u);
 }
 
+// Guards against LOST at a promotion: the same while the first membership is kept, with members that are out of sight
+// at the first observation.
+RC_GTEST_PROP(MembershipSchedules, NoPromotionFromAFirstMembershipLosesACommit, ())
+{
+    SimulatedGroup group(
+        *rc::gen::inRange<std::size_t>(2, 6), *rc::gen::inRange<std::size_t>(1, 3), *rc::gen::inRange(1u, 32u));
+    auto steps = *rc::gen::container<std::vector<SimulatedGroup::Step>>(100,
+        rc::gen::construct<SimulatedGroup::Step>(
+            rc::gen::inRange(0u, SimulatedGroup::actionCount), rc::gen::inRange(0u, 60u)));
+    for (const SimulatedGroup::Step& step : steps)
+        group.run(step);
+    RC_CLASSIFY(group.promotions() >= 1, "a promotion or more");
+    RC_ASSERT(group.lostCommits() == 0u);
+}
+
 // The rule that keeps commits leaves a group without a primary no longer than it has to: once all members respond and
 // are listed, one is promoted.
 RC_GTEST_PROP(MembershipSchedules, AMemberIsPromotedOnceAllRespond, ())
 {
-    SimulatedGroup group(3, 1);
+    SimulatedGroup group(3, 1, *rc::gen::inRange(0u, 8u));
     auto steps = *rc::gen::container<std::vector<SimulatedGroup::Step>>(60,
         rc::gen::construct<SimulatedGroup::Step>(
             rc::gen::inRange(0u, SimulatedGroup::lossCount), rc::gen::inRange(0u, 60u)));
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -586,8 +586,10 @@
 {
     auto view = this->parts.view->read();
     auto known = view->memberships.find(decision.service);
-    if (known != view->memberships.end())
+    if (known != view->memberships.end()) {
         membership.runs.insert(known->second.runs.begin(), known->second.runs.end());
+        membership.isComplete = membership.isComplete || known->second.isComplete;
+    }
     membership.runs.merge(runsToAdd(membership, view->membersOf(decision.service)));
     addAbsentRuns(candidates, listed, membership, old);
     PromotionTerms terms;
@@ -595,6 +597,7 @@
     auto highest = this->acknowledged.find(decision.service);
     if (highest != this->acknowledged.end())
         terms.acknowledged = highest->second;
+    terms.mayLackRuns = !membership.isComplete;
     terms.avoidsFormerPrimary = prefersOthers && decision.lostWrites;
     terms.avoidsDrainingPrimary = prefersOthers;
     return choosePromotion(candidates, terms);
--- a/src/libsession/promotion_choice.cpp
+++ b/src/libsession/promotion_choice.cpp
@@ -41,7 +41,8 @@
         uncovered += !covered;
         hasEveryCommit = hasEveryCommit || (covered && candidate.hasEveryCommit);
     }
-    bool isSafe = hasEveryCommit || (best->fenced && uncovered <= std::max<std::size_t>(terms.syncReplicas, 1));
+    bool areFewUncovered = !terms.mayLackRuns && uncovered <= std::max<std::size_t>(terms.syncReplicas, 1);
+    bool isSafe = hasEveryCommit || (best->fenced && areFewUncovered);
     return isSafe ? std::optional(best->id) : std::nullopt;
 }
 
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -36,12 +36,15 @@
     /// True if no former primary is to be promoted: its writes get no reply, so promoting it again would change nothing
     /// for callers.
     bool avoidsFormerPrimary = false;
+    /// True if the group may have runs that are not among the candidates, because its membership is not complete.
+    bool mayLackRuns = false;
     /// True if no former primary that is draining is to be promoted, because it will be replaced again soon.
     bool avoidsDrainingPrimary = true;
 };
 
 /// Selects the member to promote so that no acknowledged commit is lost; returns std::nullopt as long as that can't be
-/// guaranteed. The candidates are all runs in the group's membership, those that did not respond included.
+/// guaranteed. The candidates are all runs in the group's membership, those that did not respond included. If the group
+/// may have others, only the run that has every commit shows what has been acknowledged.
 ///
 /// An acknowledged commit is held by the primary and `syncReplicas` replicas, so by more than `syncReplicas` runs. The
 /// member with the longest log is selected if at most that many runs are not known to be covered by it: a run is
--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -128,6 +128,27 @@
     EXPECT_EQ(choosePromotion(candidates, PromotionTerms()), std::nullopt);
 }
 
+// Guards against LOST at a promotion: the only replica with a commit has not been seen yet.
+TEST(PromotionChoice, OnlyThePrimaryInUseShowsWhatAGroupOfUnknownSizeHas)
+{
+    std::vector<PromotionCandidate> members { candidate("old", true, false, 0), candidate("a", false, true, 7),
+        candidate("b", false, true, 7) };
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), "a");
+    PromotionTerms terms;
+    terms.mayLackRuns = true;
+    EXPECT_EQ(choosePromotion(members, terms), std::nullopt);
+    members.erase(members.begin());
+    EXPECT_EQ(choosePromotion(members, terms), std::nullopt);
+    members.push_back(candidate("old", true, true, 7));
+    members.back().hasEveryCommit = true;
+    EXPECT_EQ(choosePromotion(members, terms), "a");
+    members.back().report.received.lsn = 8;
+    terms.avoidsFormerPrimary = true;
+    EXPECT_EQ(choosePromotion(members, terms), std::nullopt);
+    terms.avoidsFormerPrimary = false;
+    EXPECT_EQ(choosePromotion(members, terms), "old");
+}
+
 // Guards against LOST at a promotion: a member that was started again has none of its commits.
 TEST(PromotionChoice, AMemberThatRestartedEmptyCountsAsNoWitness)
 {
--- a/src/libsession/simulated_group.cpp
+++ b/src/libsession/simulated_group.cpp
@@ -5,13 +5,24 @@
 
 namespace catkinlock {
 
-SimulatedGroup::SimulatedGroup(std::size_t memberCount, std::size_t syncReplicas)
+namespace {
+
+    // Time that passes between two observations of the group.
+    constexpr Milliseconds observationInterval { 2000 };
+
+} // namespace
+
+SimulatedGroup::SimulatedGroup(std::size_t memberCount, std::size_t syncReplicas, unsigned outOfSight)
     : syncReplicas(std::min(syncReplicas, memberCount - 1))
 {
     for (std::size_t i = 0; i < memberCount; ++i)
         this->join();
     this->nodes.front().primary = true;
+    for (std::size_t i = 0; i < memberCount; ++i)
+        this->nodes[i].listed = !(outOfSight >> i & 1);
     this->addRuns();
+    this->membership.isComplete
+        = std::all_of(this->nodes.begin(), this->nodes.end(), [](const Node& node) { return node.listed; });
 }
 
 void SimulatedGroup::join()
@@ -108,7 +119,8 @@
 // The member starts again under its id and at its address, and holds and knows nothing of before.
 void SimulatedGroup::restartEmpty(Node& node)
 {
-    if (node.ended)
+    // A run that ends before an instance has seen it is not known.
+    if (node.ended || this->isUnknown(node))
         return;
     this->addRuns();
     TargetRecord target = node.target;
@@ -155,6 +167,26 @@
     }
 }
 
+// True if no instance has seen the member's run yet.
+bool SimulatedGroup::isUnknown(const Node& node) const
+{
+    return !node.listed && !this->membership.isComplete && !this->membership.runs.count(runOf(node.target));
+}
+
+// Time passes, and members that were out of sight when the observation began come back in time.
+void SimulatedGroup::observe()
+{
+    bool mustBeBack = (this->observations + 1) * observationInterval >= absenceLimit;
+    for (Node& node : this->nodes) {
+        if (mustBeBack && this->isUnknown(node))
+            node.listed = !node.ended;
+    }
+    auto listed = this->listedMembers();
+    this->observations = listed.empty() ? 0 : this->observations + 1;
+    this->observation.record(this->membership, listed, TimePoint(std::chrono::hours(1)) + this->passed);
+    this->passed += observationInterval;
+}
+
 void SimulatedGroup::addRuns() { this->membership.runs.merge(runsToAdd(this->membership, this->listedMembers())); }
 
 void SimulatedGroup::removeRuns()
@@ -175,9 +207,8 @@
 
 void SimulatedGroup::keepMembership()
 {
-    this->addRuns();
-    for (const MemberRun& run : continuedRuns(this->membership, this->listedMembers()))
-        this->membership.runs.erase(run);
+    this->observe();
+    this->membership = nextMembership(this->membership, this->listedMembers(), this->observation);
     this->removeRuns();
 }
 
@@ -218,6 +249,7 @@
     addAbsentRuns(candidates, listed, this->membership, this->record);
     PromotionTerms terms;
     terms.syncReplicas = this->syncReplicas;
+    terms.mayLackRuns = !this->membership.isComplete;
     terms.avoidsFormerPrimary = this->interleaving % 3 == 0;
     auto chosen = choosePromotion(candidates, terms);
     if (chosen)
@@ -257,6 +289,8 @@
         this->comeBack(node);
     }
     this->addRuns();
+    while (!this->membership.isComplete)
+        this->keepMembership();
 }
 
 void SimulatedGroup::run(const Step& step)
--- a/src/libsession/simulated_group.h
+++ b/src/libsession/simulated_group.h
@@ -10,8 +10,8 @@
 
 /// A simulated group of members with replicated logs, whose primary is replaced and whose membership is kept by the
 /// product's decisions alone. A commit is acknowledged once `syncReplicas` replicas have received it. Members lapse
-/// from the store, go dark, start again without their logs, lag, leave and join. For tests; does no I/O and has no
-/// time.
+/// from the store, go dark, start again without their logs, lag, leave and join. For tests; does no I/O, and time
+/// passes only when the membership is kept.
 class SimulatedGroup {
 public:
     /// One action on the member that `choice` selects, where the action has one.
@@ -24,7 +24,9 @@
     /// Number of actions.
     static constexpr unsigned actionCount = 17;
 
-    SimulatedGroup(std::size_t memberCount, std::size_t syncReplicas);
+    /// `outOfSight`: the members without an entry when the group is first observed, one bit each. They come back, with
+    /// their logs, before they have been out of sight for longer than `absenceLimit`.
+    SimulatedGroup(std::size_t memberCount, std::size_t syncReplicas, unsigned outOfSight = 0);
 
     void run(const Step&);
     /// Ends all trouble: every member that has not ended responds, receives and is listed.
@@ -63,6 +65,8 @@
     void continueAs(Node&);
     void join();
     void comeBack(Node&);
+    void observe();
+    bool isUnknown(const Node&) const;
     void addRuns();
     void removeRuns();
     void keepMembership();
@@ -77,6 +81,11 @@
     std::size_t syncReplicas;
     std::vector<Node> nodes;
     GroupMembership membership;
+    GroupObservation observation;
+    // Number of observations since the first in which a member was listed.
+    unsigned observations = 0;
+    // Time since the group was set up.
+    Milliseconds passed { 0 };
     GroupRecord record { GroupRecord::State::Serving, "m0", 1 };
     std::vector<Position> acknowledged;
     std::int64_t starts = 0;
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -205,6 +205,7 @@
         GroupMembership& membership = view.memberships[service];
         GroupMembership stored = membership;
         membership.runs.insert(last.runs.begin(), last.runs.end());
+        membership.isComplete = membership.isComplete || last.isComplete;
         if (membership != stored)
             this->recordsToWrite.push_back(
                 { membershipPrefix + service, writeGroupMembership(membership), storedRevisions[service], false });
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -332,6 +332,23 @@
     EXPECT_TRUE(builder.lostRecords().empty());
 }
 
+// An older copy of the store is from a time when the group had not been observed for long enough.
+TEST(ViewBuilder, AMembershipStaysCompleteAfterARestore)
+{
+    ViewBuilder builder(std::make_shared<PlainDocuments>());
+    GroupMembership before { { { "a", 1, "10.0.0.1:5" } } };
+    GroupMembership after { { { "a", 1, "10.0.0.1:5" } }, true };
+    std::string key = std::string(membershipPrefix) + "s";
+    builder.build(copyOf({ { key, writeGroupMembership(after), 10 } }), 10, start);
+    std::int64_t restored = StoreRevision { 1, 5 }.sequence();
+    auto view = builder.build(copyOf({ { key, writeGroupMembership(before), restored } }), restored, start);
+    EXPECT_EQ(view.memberships.at("s"), after);
+    EXPECT_EQ(builder.lostRecords(), (std::vector<KeyValue> { { key, writeGroupMembership(after), restored } }));
+    ViewBuilder started(std::make_shared<PlainDocuments>());
+    view = started.build(copyOf({ { key, writeGroupMembership(before), restored } }), restored, start);
+    EXPECT_EQ(view.memberships.at("s"), before);
+}
+
 TEST(TargetDirectory, FindsTheMembersOfAServiceAndMovesARecordThatChangesIt)
 {
     TargetDirectory targets;
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -26,6 +26,7 @@
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 
 constexpr int maxConnections = 60;
 constexpr milliseconds waitInterval { 50 };
@@ -38,8 +39,11 @@
     asio::io_context context { 1 };
 
 public:
-    explicit PromotionFleet(std::size_t instanceCount)
+    // `beforeStart`: what happens to the members before they write their first entries.
+    explicit PromotionFleet(
+        std::size_t instanceCount, const std::function<void(ReplicatedGroup&)>& beforeStart = [](ReplicatedGroup&) {})
     {
+        beforeStart(this->group);
         this->store
             = std::make_shared<KvService>(this->context, [this](const std::string& id) { this->group.promote(id); });
         std::string address = this->store->start();
@@ -285,6 +289,29 @@
 // Guards against LOST at a promotion: the others register again after the replica was asked, and are not awaited.
 TEST(Promotions, MembersThatComeBackDuringAFenceAreAwaited) { playLaggingReplica(milliseconds(300)); }
 
+// Guards against LOST at a promotion: a fleet starts while the only replica with every commit is cut off from the
+// store, so that the members listed first, a primary that fails and a replica that lags, count as the whole group.
+TEST(Promotions, AReplicaThatIsOutOfSightWhenAFleetStartsIsAwaited)
+{
+    PromotionFleet fleet(2, [](ReplicatedGroup& group) { group.members()[1]->loseStore(minutes(1)); });
+    const auto& members = fleet.group.members();
+    fleet.runOnStandInThread([&] {
+        members[1]->loseStore(milliseconds(7000));
+        members[2]->setDeaf(true);
+    });
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
+    // No running instance remembers the positions that it acknowledged.
+    fleet.fronts->process(0).kill();
+    fleet.runOnStandInThread([&] {
+        members[0]->goDark(milliseconds(30000));
+        // No primary sends it anything before one is promoted.
+        members[2]->setDeaf(false);
+    });
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last"));
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 // Guards against LOST at a promotion: a transaction that is bound to a member commits there after another member has
 // been made the primary, as long as the former one does not know of it.
 TEST(Promotions, ATransactionDoesNotCommitAtAPrimaryThatWasReplaced)
