A call to the platform that was given up is not delivered later

What callers would see: an order of promotion, or a call to the store, takes effect seconds after the caller gave it up. For an order that is after another leader's (rule ONE), with that leader's primary serving.

Cause: HttpClient closes the connection of a call without a response in the ordinary way, so the kernel goes on sending what was written. While the process stands still (SIGSTOP), not even that happens, and the kernel sends until it is continued.

Fix: from the moment in which a request is written until its response is complete, closing the connection resets it (SO_LINGER 0), and the kernel gives up by itself after the call's time-out (TCP_USER_TIMEOUT). Connections whose calls have ended are closed in the ordinary way, so the store sees no reset unless a call failed, which is in doubt as before.

Evidence, http_client_test with the code before (64 KiB request, the far end's kernel takes a few KiB of it):

WhatIsHeldUpBeyondTheTimeoutDoesNotArriveLater Expected: (path.arriving()) < (bodyBytes), actual: 65633 vs 65536 WhatIsHeldUpWhileTheProcessStandsStillDoesNotArriveLater Expected: (path.arriving()) < (bodyBytes), actual: 65633 vs 65536

Both hold now. Without SO_LINGER the first alone fails, without TCP_USER_TIMEOUT the second alone; without `endExchange`, AConnectionWhoseCallsHaveEndedIsClosedInTheOrdinaryWay fails (ECONNRESET in place of the end of the stream).

--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -1,6 +1,7 @@
 #include "libplatform/http_client.h"
 
 #include "catkinlock/address.h"
+#include "libplatform/socket_options.h"
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 
@@ -49,8 +50,22 @@
         : stream(context)
     {
     }
+
+    // Until `endExchange`, closing the connection resets it.
+    void beginExchange(Milliseconds timeout)
+    {
+        setResetOnClose(this->stream.socket(), true);
+        if (timeout != this->deliveryTimeout)
+            limitDelivery(this->stream.socket(), timeout);
+        this->deliveryTimeout = timeout;
+    }
+
+    void endExchange() { setResetOnClose(this->stream.socket(), false); }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    // Limit of `limitDelivery` on this connection.
+    Milliseconds deliveryTimeout {};
 };
 
 HttpClient::HttpClient(asio::io_context& context, std::string address)
@@ -79,6 +94,7 @@
         boost::system::error_code ignored;
         connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
+    connection->beginExchange(timeout);
     connection->stream.expires_after(timeout);
     auto request = makeRequest(this->address, std::move(call));
     auto [writeError, written] = co_await http::async_write(connection->stream, request, asTuple());
@@ -94,6 +110,7 @@
         this->closeIdleConnections();
         co_return tl::unexpected(maybeExecutedError("the platform's service did not respond: " + error.message()));
     }
+    connection->endExchange();
     auto message = parser.release();
     if (message.keep_alive() && this->idle.size() < maxIdleConnections)
         this->idle.push_back(connection);
--- a/src/libplatform/http_client.h
+++ b/src/libplatform/http_client.h
@@ -46,7 +46,8 @@
 
     /// Sends a request and returns the response, whatever its status code. An error means that there was no response;
     /// its `mayHaveRun` tells whether the service may have executed the request. `timeout` bounds connecting, and again
-    /// sending the request and reading the response.
+    /// sending the request and reading the response. Without a response in time the connection is reset: what the
+    /// service has not received by then, it does not receive later.
     boost::asio::awaitable<PlatformResult<HttpResponse>> call(HttpRequest, Milliseconds timeout);
 
     /// Lets the next calls use new connections.
--- a/src/libplatform/http_client_test.cpp
+++ b/src/libplatform/http_client_test.cpp
@@ -1,10 +1,11 @@
-// Tests of the HTTP client against a service that falls silent on its open connections.
+// Tests of the HTTP client against services that fall silent, and behind paths that hold bytes up.
 
 #include "libplatform/http_client.h"
 #include "standin/run_to_end.h"
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace catkinlock;
 
@@ -26,6 +27,8 @@
 
     std::string address() const { return fmt::format("127.0.0.1:{}", this->acceptor.local_endpoint().port()); }
     void silence() { this->silentConnections = this->connections; }
+    // How the last connection ended that has ended.
+    boost::system::error_code end() const { return this->lastEnd; }
 
 private:
     asio::awaitable<void> accept()
@@ -43,6 +46,7 @@
         for (;;) {
             auto [error, size] = co_await asio::async_read_until(
                 socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::as_tuple(asio::use_awaitable));
+            this->lastEnd = error;
             if (error)
                 co_return;
             received.erase(0, size);
@@ -56,8 +60,49 @@
     tcp::acceptor acceptor;
     int connections = 0;
     int silentConnections = 0;
+    boost::system::error_code lastEnd;
 };
 
+// Larger than what the buffer of `HeldUpPath` takes, and smaller than what a sender's kernel takes.
+constexpr std::size_t bodyBytes = 64 << 10;
+
+// Holds up what a client sends: the kernel of the far end takes a small part of it, the client's kernel keeps the rest.
+class HeldUpPath {
+public:
+    explicit HeldUpPath(asio::io_context& context)
+        : acceptor(context)
+    {
+        this->acceptor.open(tcp::v4());
+        this->acceptor.set_option(tcp::acceptor::receive_buffer_size(4096));
+        this->acceptor.bind(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        this->acceptor.listen();
+    }
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", this->acceptor.local_endpoint().port()); }
+
+    // Ends the hold-up of the first connection. Returns how many bytes arrive until it is closed or nothing has
+    // arrived for a second.
+    std::size_t arriving()
+    {
+        tcp::socket socket = this->acceptor.accept();
+        timeval silence { 1, 0 };
+        setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &silence, sizeof silence);
+        std::string chunk(4096, '\0');
+        std::size_t arrived = 0;
+        for (;;) {
+            ssize_t size = recv(socket.native_handle(), chunk.data(), chunk.size(), 0);
+            if (size <= 0)
+                return arrived;
+            arrived += static_cast<std::size_t>(size);
+        }
+    }
+
+private:
+    tcp::acceptor acceptor;
+};
+
+HttpRequest largeRequest() { return { "POST", "/", std::string(bodyBytes, 'x'), {} }; }
+
 } // namespace
 
 TEST(HttpClient, ACallAfterOneWithoutAResponseUsesANewConnection)
@@ -84,3 +129,47 @@
     EXPECT_FALSE(first);
     EXPECT_TRUE(second);
 }
+
+TEST(HttpClient, AConnectionWhoseCallsHaveEndedIsClosedInTheOrdinaryWay)
+{
+    asio::io_context context;
+    Service service(context);
+    auto client = std::make_shared<HttpClient>(context, service.address());
+    auto call = [&] { return client->call({ "GET", "/", "", {} }, callTimeout); };
+    standin::runToEnd(context, [&]() -> asio::awaitable<void> {
+        bool responded = (co_await call()).has_value();
+        EXPECT_TRUE(responded);
+        client->closeIdleConnections();
+        while (!service.end())
+            co_await asio::post(asio::use_awaitable);
+    });
+    EXPECT_EQ(service.end(), asio::error::eof);
+}
+
+TEST(HttpClient, WhatIsHeldUpBeyondTheTimeoutDoesNotArriveLater)
+{
+    asio::io_context context;
+    HeldUpPath path(context);
+    auto client = std::make_shared<HttpClient>(context, path.address());
+    bool responded = true;
+    standin::runToEnd(context, [&]() -> asio::awaitable<void> {
+        auto response = co_await client->call(largeRequest(), callTimeout);
+        responded = response.has_value();
+        EXPECT_TRUE(responded || response.error().mayHaveRun);
+    });
+    EXPECT_FALSE(responded);
+    EXPECT_LT(path.arriving(), bodyBytes);
+}
+
+TEST(HttpClient, WhatIsHeldUpWhileTheProcessStandsStillDoesNotArriveLater)
+{
+    asio::io_context context;
+    HeldUpPath path(context);
+    auto client = std::make_shared<HttpClient>(context, path.address());
+    asio::co_spawn(context, client->call(largeRequest(), callTimeout), [](std::exception_ptr, const auto&) {});
+    // Until the request is written; the time-out has not passed then.
+    context.run_for(callTimeout / 4);
+    // Nothing of the process runs, so that only the kernel can drop what it holds.
+    std::this_thread::sleep_for(callTimeout * 15);
+    EXPECT_LT(path.arriving(), bodyBytes);
+}
