--- a/src/include/catkinlock/promotion_service.h
+++ b/src/include/catkinlock/promotion_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "catkinlock/metadata_store.h"
+#include <functional>
 #include <string>
 
 namespace catkinlock {
@@ -23,8 +24,9 @@
     virtual ~PromotionService() = default;
 
     /// Returns true if the platform accepted the request, and false if the platform responded that the member can't be
-    /// promoted. Every other response is an error.
-    virtual boost::asio::awaitable<PlatformResult<bool>> promote(PromotionRequest) = 0;
+    /// promoted. Every other response is an error. `mayAct` is asked right before the request is written, after all
+    /// waiting; if it returns false the request is not sent, which is an error too.
+    virtual boost::asio::awaitable<PlatformResult<bool>> promote(PromotionRequest, std::function<bool()> mayAct) = 0;
 };
 
 } // namespace catkinlock
--- a/src/libplatform/http_client.cpp
+++ b/src/libplatform/http_client.cpp
@@ -76,9 +76,11 @@
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<PlatformResult<HttpResponse>> HttpClient::call(HttpRequest call, Milliseconds timeout)
+asio::awaitable<PlatformResult<HttpResponse>> HttpClient::call(
+    HttpRequest call, Milliseconds timeout, SendGuard maySend)
 {
     auto self = this->shared_from_this();
+    TimePoint connectBy = Clock::now() + timeout;
     ++this->callCount;
     std::shared_ptr<Connection> connection;
     if (!this->idle.empty()) {
@@ -91,12 +93,19 @@
         auto [error] = co_await connection->stream.async_connect(parseAddress(this->address), asTuple());
         if (error)
             co_return tl::unexpected(notExecutedError("cannot reach the platform's service: " + error.message()));
+        // A process that stood still may find the connection open after the timer should have fired.
+        if (Clock::now() >= connectBy)
+            co_return tl::unexpected(notExecutedError("connecting to the platform's service took too long"));
         boost::system::error_code ignored;
         connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
     }
     connection->beginExchange(timeout);
     connection->stream.expires_after(timeout);
     auto request = makeRequest(this->address, std::move(call));
+    if (maySend && !maySend()) {
+        connection->endExchange();
+        co_return tl::unexpected(notExecutedError("the caller of the platform's service may no longer act"));
+    }
     auto [writeError, written] = co_await http::async_write(connection->stream, request, asTuple());
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxResponseBytes);
--- a/src/libplatform/http_client.h
+++ b/src/libplatform/http_client.h
@@ -3,6 +3,7 @@
 #include "catkinlock/metadata_store.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,9 @@
     std::optional<std::string> header(std::string_view name) const;
 };
 
+/// Asked right before a request is written to an open connection. Nothing is written if it returns false.
+using SendGuard = std::function<bool()>;
+
 /// A client of one HTTP/1.1 service, which reuses a few idle connections. Used from one thread, which runs the given
 /// context.
 class HttpClient : public std::enable_shared_from_this<HttpClient> {
@@ -47,8 +51,10 @@
     /// Sends a request and returns the response, whatever its status code. An error means that there was no response;
     /// its `mayHaveRun` tells whether the service may have executed the request. `timeout` bounds connecting, and again
     /// sending the request and reading the response. Without a response in time the connection is reset: what the
-    /// service has not received by then, it does not receive later.
-    boost::asio::awaitable<PlatformResult<HttpResponse>> call(HttpRequest, Milliseconds timeout);
+    /// service has not received by then, it does not receive later. A request is not sent, and `mayHaveRun` is false,
+    /// if connecting has taken longer or `maySend` returns false.
+    boost::asio::awaitable<PlatformResult<HttpResponse>> call(
+        HttpRequest, Milliseconds timeout, SendGuard maySend = {});
 
     /// Lets the next calls use new connections.
     void closeIdleConnections() { this->idle.clear(); }
--- a/src/libplatform/http_client_test.cpp
+++ b/src/libplatform/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <thread>
 
 using namespace catkinlock;
@@ -80,6 +81,13 @@
 
     std::string address() const { return fmt::format("127.0.0.1:{}", this->acceptor.local_endpoint().port()); }
 
+    // True once the handshake of a connection is complete.
+    bool hasConnection()
+    {
+        pollfd ready { this->acceptor.native_handle(), POLLIN, 0 };
+        return poll(&ready, 1, 0) == 1;
+    }
+
     // Ends the hold-up of the first connection. Returns how many bytes arrive until it is closed or nothing has
     // arrived for a second.
     std::size_t arriving()
@@ -101,6 +109,7 @@
     tcp::acceptor acceptor;
 };
 
+HttpRequest smallRequest() { return { "POST", "/", "order", {} }; }
 HttpRequest largeRequest() { return { "POST", "/", std::string(bodyBytes, 'x'), {} }; }
 
 } // namespace
@@ -173,3 +182,42 @@
     std::this_thread::sleep_for(callTimeout * 15);
     EXPECT_LT(path.arriving(), bodyBytes);
 }
+
+TEST(HttpClient, ACallIsNotSentIfItsDeadlinePassesWhileItConnects)
+{
+    asio::io_context context;
+    HeldUpPath path(context);
+    auto client = std::make_shared<HttpClient>(context, path.address());
+    bool mayHaveRun = true;
+    standin::runToEnd(context, [&]() -> asio::awaitable<void> {
+        // Runs once the call has begun to connect.
+        asio::post(context, [] { std::this_thread::sleep_for(callTimeout * 3); });
+        auto response = co_await client->call(smallRequest(), callTimeout);
+        EXPECT_FALSE(response);
+        mayHaveRun = !response && response.error().mayHaveRun;
+    });
+    EXPECT_FALSE(mayHaveRun);
+    client->closeIdleConnections();
+    EXPECT_EQ(path.arriving(), 0U);
+}
+
+TEST(HttpClient, ACallIsNotSentIfItsCallerMayNotSendOnceTheConnectionIsOpen)
+{
+    asio::io_context context;
+    HeldUpPath path(context);
+    auto client = std::make_shared<HttpClient>(context, path.address());
+    bool wasOpen = false;
+    bool mayHaveRun = true;
+    SendGuard maySend = [&] {
+        wasOpen = path.hasConnection();
+        return false;
+    };
+    standin::runToEnd(context, [&]() -> asio::awaitable<void> {
+        auto response = co_await client->call(smallRequest(), callTimeout, maySend);
+        EXPECT_FALSE(response);
+        mayHaveRun = !response && response.error().mayHaveRun;
+    });
+    EXPECT_TRUE(wasOpen);
+    EXPECT_FALSE(mayHaveRun);
+    EXPECT_EQ(path.arriving(), 0U);
+}
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -496,7 +496,8 @@
     request.target = id;
     request.holder = this->parts.instance;
     request.fencingToken = decision.fencingToken;
-    auto accepted = co_await this->parts.promotions->promote(request);
+    std::function<bool()> mayAct = [self = this->shared_from_this(), decision] { return self->mayAct(decision); };
+    auto accepted = co_await this->parts.promotions->promote(request, std::move(mayAct));
     // An order that certainly did not run begins no tenure, so that another instance may try.
     if (accepted || accepted.error().mayHaveRun)
         this->leaderLease->recordOrder(Clock::now());
