A command to a member is sent only while its leader may act, and ends with it

What callers would see: a leader that stood still lets a replica receive again that the next leader has paused (RESUME carries no term). That replica may then acknowledge commits for the former primary while another member is being promoted, whose log lacks them; or a late PAUSE or STEPDOWN stops the members of a later term.

Cause: `mayAct` is asked before the connection to the member is opened, which takes up to two time-outs of 400 ms or as long as the process stands still. A command without a response is dropped by an ordinary close, so the kernel goes on sending it. RESUME is spawned without being awaited, so it may be on its way when the leader ends its lease, or pauses the same group again.

Fix: `MemberCommands` asks a guard on the open connection, right before each command of a fence and each RESUME. Its connections are reset when they are closed, and their kernel gives up after the time-out (TCP_USER_TIMEOUT); connections of callers' statements are as before. A command is over 400 ms after the last check, less than `leaderLeaseMargin` (1,200 ms), which a test compares. A replacement ends, and its lease may be ended, only when its RESUMEs have ended (at most 1,200 ms). That is after the new primary was recorded, so it delays no primary; the wait has no test of its own.

Evidence, member_commands_test with the guard ignored and the connections closed as before:

ACommandThatIsHeldUpBeyondItsTimeoutDoesNotArriveLater Expected: (fixture.member.arriving()) < (argumentBytes), actual: 65552 vs 65536 ACommandThatIsHeldUpWhileTheProcessStandsStillDoesNotArriveLater Expected: (fixture.member.arriving()) < (argumentBytes), actual: 65552 vs 65536 NoReplicaIsResumedIfTheLeaderMayNoLongerActOnceTheConnectionIsOpen fixture.member.commands Which is: "QUERY - RESUME\r\n" "" NoMemberIsFencedOnceTheLeaderMayNoLongerAct fenced.front().fenced Actual: true Expected: false

--- a/src/libsession/member_commands.cpp
+++ b/src/libsession/member_commands.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-    // For opening a connection to a member and for each command to it.
-    constexpr Milliseconds commandTimeout { 400 };
     // Between two checks whether all members have replied.
     constexpr Milliseconds replyCheckInterval { 5 };
     // Workspace under which connections for promotions are opened.
@@ -26,17 +24,21 @@
 {
 }
 
-asio::awaitable<std::optional<MemberReport>> MemberCommands::send(TargetRecord target, TargetCommand command)
+asio::awaitable<std::optional<MemberReport>> MemberCommands::send(
+    TargetRecord target, TargetCommand command, SendGuard maySend)
 {
     auto self = this->shared_from_this();
     auto link = this->links[target.id];
     this->links.erase(target.id);
     if (!link || !link->isOpen()) {
         link = std::make_shared<TargetLink>(this->context.get_executor(), this->protocol);
+        link->setResetOnClose(commandTimeout);
         auto opened = co_await link->open(target, promotionWorkspace, commandTimeout);
         if (!opened)
             co_return std::nullopt;
     }
+    if (maySend && !maySend())
+        co_return std::nullopt;
     auto reply = co_await link->command(command, std::nullopt, Clock::now() + commandTimeout);
     if (!reply)
         co_return std::nullopt;
@@ -49,6 +51,7 @@
     std::vector<PromotionCandidate> candidates;
     std::vector<bool> replied;
     std::size_t outstanding = 0;
+    SendGuard mayAct;
     // Highest term that a member has reported in this round or an earlier one.
     std::uint64_t highestTerm = 0;
 };
@@ -57,7 +60,7 @@
 {
     ++round->outstanding;
     auto run = [self = this->shared_from_this(), round, index, member, command]() -> asio::awaitable<void> {
-        auto report = co_await self->send(member, command);
+        auto report = co_await self->send(member, command, round->mayAct);
         --round->outstanding;
         if (!report)
             co_return;
@@ -89,9 +92,10 @@
 }
 
 std::shared_ptr<MemberCommands::Round> MemberCommands::makeRound(
-    const std::vector<TargetRecord>& members, const std::string& primary)
+    const std::vector<TargetRecord>& members, const std::string& primary, SendGuard mayAct)
 {
     auto round = std::make_shared<Round>();
+    round->mayAct = std::move(mayAct);
     for (const TargetRecord& member : members)
         round->candidates.push_back({ member.id, member.id == primary, member.draining, false, {} });
     return round;
@@ -108,10 +112,10 @@
 }
 
 asio::awaitable<std::vector<PromotionCandidate>> MemberCommands::fence(
-    std::vector<TargetRecord> members, GroupRecord old, bool pauseAll)
+    std::vector<TargetRecord> members, GroupRecord old, bool pauseAll, SendGuard mayAct)
 {
     auto self = this->shared_from_this();
-    auto round = makeRound(members, old.primary);
+    auto round = makeRound(members, old.primary, std::move(mayAct));
     round->highestTerm = old.term;
     // The first round only collects the members' terms, so that the second one can send the commands with a term above
     // all of them.
@@ -164,10 +168,11 @@
     co_return ended ? Presence::Ended : Presence::Silent;
 }
 
-asio::awaitable<void> MemberCommands::resume(std::vector<TargetRecord> replicas)
+asio::awaitable<void> MemberCommands::resume(std::vector<TargetRecord> replicas, SendGuard mayAct)
 {
     auto self = this->shared_from_this();
     auto round = std::make_shared<Round>();
+    round->mayAct = std::move(mayAct);
     round->candidates.resize(replicas.size());
     TargetCommand command;
     command.kind = TargetCommand::Kind::Resume;
--- a/src/libsession/member_commands.h
+++ b/src/libsession/member_commands.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "catkinlock/clock.h"
 #include "catkinlock/group_record.h"
 #include "catkinlock/target_message.h"
 #include "catkinlock/target_record.h"
 #include "libsession/promotion_choice.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,8 +24,15 @@
 public:
     MemberCommands(boost::asio::io_context&, std::shared_ptr<const TargetProtocol>);
 
-    /// Sends a command to a member. Returns its status report, or std::nullopt if it did not respond in time.
-    boost::asio::awaitable<std::optional<MemberReport>> send(TargetRecord, TargetCommand);
+    /// For connecting to a member, for opening the connection and for the command. A command is over, and nothing of it
+    /// arrives later, this long after it was written.
+    static constexpr Milliseconds commandTimeout { 400 };
+    /// Asked right before a command is written to an open connection. The command is not sent if it returns false.
+    using SendGuard = std::function<bool()>;
+
+    /// Sends a command to a member. Returns its status report, or std::nullopt if it did not respond in time. A command
+    /// without a response does not arrive later.
+    boost::asio::awaitable<std::optional<MemberReport>> send(TargetRecord, TargetCommand, SendGuard = {});
     /// Requests a report from each member. `primary` is the id of the group's primary. Members that did not respond
     /// have an empty report; none counts as fenced.
     boost::asio::awaitable<std::vector<PromotionCandidate>> reports(
@@ -33,7 +42,7 @@
     /// fence. Replicas are left running, and don't count as fenced, if `pauseAll` is false. `old` is the group's
     /// record. If `findPromoted` finds a member, nothing is fenced.
     boost::asio::awaitable<std::vector<PromotionCandidate>> fence(
-        std::vector<TargetRecord> members, GroupRecord old, bool pauseAll);
+        std::vector<TargetRecord> members, GroupRecord old, bool pauseAll, SendGuard mayAct);
     /// What an attempt to connect to a member shows of it.
     enum class Presence {
         /// The member accepts connections.
@@ -46,11 +55,12 @@
     /// Connects to a member to find out whether it runs.
     boost::asio::awaitable<Presence> probe(TargetRecord);
     /// Lets paused replicas receive again. Returns once all have replied or timed out.
-    boost::asio::awaitable<void> resume(std::vector<TargetRecord> replicas);
+    boost::asio::awaitable<void> resume(std::vector<TargetRecord> replicas, SendGuard mayAct);
 
 private:
     struct Round;
-    static std::shared_ptr<Round> makeRound(const std::vector<TargetRecord>& members, const std::string& primary);
+    static std::shared_ptr<Round> makeRound(
+        const std::vector<TargetRecord>& members, const std::string& primary, SendGuard = {});
     // Sends one command to each member and returns once all have replied or timed out.
     boost::asio::awaitable<void> sendAll(std::shared_ptr<Round>, std::vector<TargetRecord>, std::vector<TargetCommand>);
     // Returns once all commands of the round have been replied to or have timed out.
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -340,9 +340,11 @@
         co_return retryDelay;
     decision.fencingToken = tenure.fencingToken();
     bool replaced = co_await this->executeReplacement(decision);
-    this->leaderLease->finish();
     writeLog(replaced ? LogLevel::Info : LogLevel::Warning, replaced ? "primary_replaced" : "primary_not_replaced",
         { { "service", decision.service }, { "fencing_token", text(decision.fencingToken) } });
+    // Under the lease, so that the next leader acts afterwards.
+    co_await this->awaitResumes(decision.service);
+    this->leaderLease->finish();
     co_return retryDelay;
 }
 
@@ -456,6 +458,12 @@
     return tenure.fencingToken() == decision.fencingToken && tenure.mayAct(Clock::now());
 }
 
+// Passed along with what is sent for the decision, to be asked once nothing is left to wait for.
+std::function<bool()> Promoter::guardOf(const Decision& decision)
+{
+    return [self = this->shared_from_this(), decision] { return self->mayAct(decision); };
+}
+
 asio::awaitable<PlatformResult<std::optional<KeyValue>>> Promoter::readRecord(std::string service)
 {
     return this->parts.store->read(groupPrefix + service);
@@ -496,7 +504,7 @@
     request.target = id;
     request.holder = this->parts.instance;
     request.fencingToken = decision.fencingToken;
-    std::function<bool()> mayAct = [self = this->shared_from_this(), decision] { return self->mayAct(decision); };
+    auto mayAct = this->guardOf(decision);
     auto accepted = co_await this->parts.promotions->promote(request, std::move(mayAct));
     // An order that certainly did not run begins no tenure, so that another instance may try.
     if (accepted || accepted.error().mayHaveRun)
@@ -557,7 +565,8 @@
         bool pauseAll = !decision.planned || rounds >= roundsBeforePause;
         ++rounds;
         auto listed = view->membersOf(decision.service);
-        auto candidates = co_await this->members->fence(listed, old, pauseAll);
+        auto mayAct = this->guardOf(decision);
+        auto candidates = co_await this->members->fence(listed, old, pauseAll, std::move(mayAct));
         auto promoted = findPromoted(candidates, old);
         bool prefersOthers = Clock::now() < start + avoidFormerPrimaryFor;
         auto chosen = promoted ? promoted : this->choose(decision, old, membership, listed, candidates, prefersOthers);
@@ -635,18 +644,34 @@
             co_return 0;
     }
     std::uint64_t term = co_await this->awaitLeadership(selected.target, selected.oldTerm);
-    if (term && this->mayAct(decision))
-        this->resumeReplicas(decision.service, selected.target.id);
+    if (term)
+        this->resumeReplicas(decision, selected.target.id);
     co_return term;
 }
 
-// Lets replicas receive again that were paused after the promotion had taken effect. Not awaited, because one that does
-// not respond would delay the new primary.
-void Promoter::resumeReplicas(const std::string& service, const std::string& primary)
+// Lets replicas receive again that were paused after the promotion had taken effect. Not awaited here, because one that
+// does not respond would delay the new primary.
+void Promoter::resumeReplicas(const Decision& decision, const std::string& primary)
 {
-    auto replicas = this->parts.view->read()->membersOf(service);
+    auto replicas = this->parts.view->read()->membersOf(decision.service);
     std::erase_if(replicas, [&primary](const TargetRecord& member) { return member.id == primary; });
-    spawn(this->context, [members = this->members, replicas] { return members->resume(replicas); });
+    ++this->watches[decision.service].resumes;
+    spawn(this->context,
+        [self = this->shared_from_this(), service = decision.service, replicas,
+            mayAct = this->guardOf(decision)]() -> asio::awaitable<void> {
+            co_await self->members->resume(replicas, mayAct);
+            --self->watches[service].resumes;
+        });
+}
+
+// Waits until no command to resume of this instance can arrive any more, which takes three time-outs at most. The
+// command carries no term: it would undo a pause of the next replacement.
+asio::awaitable<void> Promoter::awaitResumes(std::string service)
+{
+    while (this->watches[service].resumes) {
+        co_await this->leaderLease->renewIfNeeded();
+        co_await this->sleepFor(stepInterval);
+    }
 }
 
 // Marks the group as being replaced, fences and promotes, and writes the new primary to the group's record. Returns
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -88,6 +88,8 @@
         // No check before this time.
         TimePoint nextAttemptAt;
         bool replacementRunning = false;
+        // Rounds of commands to resume that have not ended.
+        unsigned resumes = 0;
     };
 
     void checkGroup(const std::string& service, const FleetView&, TimePoint now);
@@ -141,7 +143,9 @@
     };
     boost::asio::awaitable<std::optional<NewPrimary>> selectNewPrimary(Decision, GroupRecord old, GroupMembership);
     boost::asio::awaitable<std::uint64_t> makePrimary(Decision, NewPrimary);
-    void resumeReplicas(const std::string& service, const std::string& primary);
+    std::function<bool()> guardOf(const Decision&);
+    void resumeReplicas(const Decision&, const std::string& primary);
+    boost::asio::awaitable<void> awaitResumes(std::string service);
     std::optional<std::string> choose(const Decision&, const GroupRecord& old, GroupMembership,
         const std::vector<TargetRecord>& listed, std::vector<PromotionCandidate>&, bool prefersOthers) const;
     bool otherMemberCanLead(
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -1,6 +1,7 @@
 #include "libsession/target_link.h"
 
 #include "catkinlock/address.h"
+#include "libplatform/socket_options.h"
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -39,7 +40,9 @@
 void TargetLink::close()
 {
     boost::system::error_code ignored;
-    this->socket->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    // A shutdown would let the kernel go on sending before the reset.
+    if (!this->deliveryTimeout)
+        this->socket->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     this->socket->stream.socket().close(ignored);
 }
 
@@ -60,6 +63,10 @@
     }
     boost::system::error_code ignored;
     this->socket->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (this->deliveryTimeout) {
+        catkinlock::setResetOnClose(this->socket->stream.socket(), true);
+        limitDelivery(this->socket->stream.socket(), *this->deliveryTimeout);
+    }
     std::string bytes;
     this->protocol->appendOpen(bytes, this->member.service, this->workspaceName, this->member.id);
     // A member that refuses the opening sends an error and closes the connection, without the state that ends other
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tl/expected.hpp>
@@ -49,6 +50,10 @@
     /// share the time until `deadline`. False if one of them failed; the connection is then closed.
     boost::asio::awaitable<bool> applySessionState(std::map<std::string, std::string> values, std::string preparedName,
         std::string preparedText, TimePoint deadline);
+    /// Sets that the connection is reset whenever it is closed, and that the kernel drops what it could not deliver
+    /// within `timeout`: what the member has not received by then, it does not receive later. To be called before
+    /// `open`.
+    void setResetOnClose(Milliseconds timeout) { this->deliveryTimeout = timeout; }
     void close();
     bool isOpen() const;
 
@@ -73,6 +78,8 @@
     TransactionState lastState = TransactionState::Idle;
     // Bytes read that are not decoded yet.
     std::string received;
+    // Set if the connection is reset when it is closed.
+    std::optional<Milliseconds> deliveryTimeout;
 };
 
 } // namespace catkinlock
