Promise nothing in a notice that may meet a statement of an operation that wrote

What callers would see: the notice of a session's end says BUSY, which promises that nothing of the operation is kept. A caller that ends an operation with DEALLOC gets this notice as the reply to it, after its write was committed, and runs the write again. Cause: the notice was taken to fall between two operations, but nothing says when a caller's operation ends. Now it says FAILED, which promises nothing, if the session's last operation may have written, and it is not sent along with a reply while the session has prepared statements. Sessions.AStatementAfterAWriteIsPromisedNothingWhenItsSessionEnds failed on (BUSY in reply to DEALLOC) and passes.

A statement that the notice has crossed is logged with its id and counted. Lines on ended sessions no longer displace those on failures. AnInstanceThatLeavesEndsItsSessionsBetweenRequests keeps its caller open to the end again, so that the instance has to close the session.

It now requires that half of the operations are served, that instances were stopped and, in the test with faults, that primaries were promoted; that every instance ends by itself with status 0 within its time; that openings are answered; and a fault of a member or of another instance excuses nothing any more.

--- a/src/libsession/drain_schedule.cpp
+++ b/src/libsession/drain_schedule.cpp
@@ -17,8 +17,8 @@
 DrainSchedule makeDrainSchedule(TimePoint start, Milliseconds total)
 {
     auto after = [&](double fraction) { return start + std::chrono::duration_cast<Duration>(total * fraction); };
-    return { after(idleSessionsFraction), after(acceptingFraction), after(transactionsFraction), after(statementsFraction),
-        after(repliesFraction), after(processFraction) };
+    return { after(idleSessionsFraction), after(acceptingFraction), after(transactionsFraction),
+        after(statementsFraction), after(repliesFraction), after(processFraction) };
 }
 
 } // namespace catkinlock
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -25,6 +25,7 @@
     constexpr Milliseconds minQuietTime { 200 };
     // Longest wait for a caller to close a session after the notice that it ends.
     constexpr Milliseconds noticeTimeout { 500 };
+    constexpr const char* leavingText = "not run: this instance is leaving; use another one";
 
     // The kind of a statement for the log, without its parameters.
     std::string firstWord(const std::string& text) { return text.substr(0, text.find(' ')); }
@@ -87,13 +88,20 @@
     this->cancelRead();
 }
 
-// The session ends between two operations, so that nothing of it is lost. A statement that the caller has sent before
-// it sees the notice is not run.
+// What a statement gets in reply that the caller has sent before it saw the notice. It is not run. It may belong to the
+// operation before, so that nothing is promised if that one may have written.
+StatementError Session::noticeError() const
+{
+    if (this->runner.state() != TransactionState::Idle)
+        return StatementError::Aborted;
+    return this->runner.mayHaveWritten() ? StatementError::Failed : StatementError::Busy;
+}
+
+// Tells the caller that the session ends. An open transaction is rolled back before.
 void Session::appendNotice(std::string& out)
 {
-    bool idle = this->runner.state() == TransactionState::Idle;
-    this->context->protocol->appendNotice(out, idle ? StatementError::Busy : StatementError::Aborted,
-        idle ? "not run: this instance is leaving; use another one" : "rolled back: this instance is leaving");
+    this->runner.abandonUnreported();
+    this->context->protocol->appendNotice(out, this->noticeError(), leavingText);
     this->noticeGivenAt = Clock::now();
 }
 
@@ -126,11 +134,26 @@
         co_return false;
     if (!this->noticeGivenAt)
         co_return co_await this->serveStatement(std::move(*statement));
-    this->context->protocol->appendRestOfNotice(bytes, this->runner.state());
-    this->appendNotice(bytes);
+    this->completeNotice(*statement, bytes);
     co_return co_await this->write(std::move(bytes));
 }
 
+// Appends the rest of the reply to a statement that the notice has crossed, and the notice once more: the caller took
+// the one before for the beginning of this reply.
+void Session::completeNotice(const SessionStatement& statement, std::string& out)
+{
+    TargetReply refusal;
+    refusal.error = this->noticeError();
+    refusal.errorText = leavingText;
+    bool endsTransaction = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
+    if (endsTransaction)
+        this->runner.rollBack();
+    this->runner.beginStatement();
+    this->recordOutcome(statement, refusal, {});
+    this->context->protocol->appendRestOfNotice(out, this->runner.state());
+    this->appendNotice(out);
+}
+
 asio::awaitable<bool> Session::serveStatement(SessionStatement statement)
 {
     ++this->statements;
@@ -140,7 +163,8 @@
     std::string bytes;
     this->context->protocol->appendReply(bytes, reply);
     const auto& drain = this->context->drain;
-    bool operationEnded = inOperation && this->runner.state() == TransactionState::Idle;
+    // A caller that has prepared statements is likely to deallocate them next.
+    bool operationEnded = inOperation && this->runner.state() == TransactionState::Idle && !this->runner.hasPrepared();
     if (drain && (operationEnded || Clock::now() > drain->statementsEnd))
         this->appendNotice(bytes);
     co_return co_await this->write(std::move(bytes));
@@ -149,7 +173,7 @@
 // Bytes that were not read tell that the caller has sent a request that gets no reply.
 void Session::logEndWhileLeaving()
 {
-    if (!this->context->failureLineBudget.take(Clock::now()))
+    if (!this->context->successLineBudget.take(Clock::now()))
         return;
     boost::system::error_code ignored;
     std::size_t unread = this->received.size() + this->socket->stream.available(ignored);
@@ -314,7 +338,7 @@
         return std::nullopt;
     TargetReply refusal;
     refusal.error = StatementError::Busy;
-    refusal.errorText = "not run: this instance is leaving; use another one";
+    refusal.errorText = leavingText;
     return refusal;
 }
 
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -39,7 +39,9 @@
     boost::asio::awaitable<bool> serveStatement(SessionStatement);
     boost::asio::awaitable<std::optional<CallerMessage>> nextMessage();
     boost::asio::awaitable<bool> write(std::string bytes);
+    StatementError noticeError() const;
     void appendNotice(std::string& out);
+    void completeNotice(const SessionStatement&, std::string& out);
     void cancelRead();
     boost::asio::awaitable<TargetReply> runStatement(SessionStatement);
     tl::expected<StatementCall, TargetReply> admitCall() const;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -114,6 +114,12 @@
     this->transaction.failureUnreported = true;
 }
 
+void SessionRunner::rollBack()
+{
+    this->abandon();
+    this->transaction.state = TransactionState::Idle;
+}
+
 void SessionRunner::close()
 {
     if (this->transaction.state != TransactionState::Idle)
@@ -187,8 +193,7 @@
         this->transaction.readOnly = statement.kind == StatementKind::BeginRead;
         break;
     case StatementKind::Rollback:
-        this->abandon();
-        this->transaction.state = TransactionState::Idle;
+        this->rollBack();
         break;
     default:
         return this->refuse(StatementError::Malformed, "unknown kind of statement");
@@ -200,6 +205,8 @@
 asio::awaitable<TargetReply> SessionRunner::run(SessionStatement statement, StatementCall call)
 {
     TransactionState before = this->transaction.state;
+    if (this->startsOperation(statement))
+        this->operationMayHaveWritten = false;
     bool endsTransaction = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     if (std::exchange(this->transaction.failureUnreported, false) && !endsTransaction)
         co_return this->refuse(
@@ -341,6 +348,7 @@
         co_return notSent(
             "not sent: the caller's key is no longer valid, or the primary changed or can't be confirmed");
     bool wrote = this->writes(statement) || (statement.kind == StatementKind::Commit && this->transaction.wrote);
+    this->operationMayHaveWritten = this->operationMayHaveWritten || wrote;
     SentRequest request = this->context->groups->requestTo(*this->context->view->read(), pool, sentAt);
     auto reply = co_await link->send(statement, placement.after, preparedName, deadline);
     TimePoint now = Clock::now();
@@ -606,8 +614,7 @@
         TargetReply failure;
         bool bound = co_await this->bind(call, failure);
         if (!bound) {
-            this->abandon();
-            this->transaction.state = TransactionState::Idle;
+            this->rollBack();
             co_return this->refuse(StatementError::Aborted, failure.errorText);
         }
     }
@@ -619,8 +626,7 @@
     Placement placement = this->transactionPlacement(statement);
     Attempt attempt
         = co_await this->exchange(this->transaction.link, placement, std::move(statement), call, call.deadline);
-    this->abandon();
-    this->transaction.state = TransactionState::Idle;
+    this->rollBack();
     if (attempt.outcome == Attempt::AttemptOutcome::ReplyLost) {
         if (wrote)
             co_return this->refuse(StatementError::InDoubt, "no reply to the commit; it may have taken effect");
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -64,12 +64,18 @@
     /// Rolls back an open transaction in the background and releases its connection. The session's transaction is then
     /// in the state Failed. Does nothing outside a transaction.
     void close();
+    /// Rolls back an open transaction in the background. The session is then in no transaction.
+    void rollBack();
     /// Id of the member that the last statement was sent to, for logs; empty if there was none.
     const std::string& lastMember() const { return this->memberId; }
     /// Number of attempts that the last statement took.
     unsigned lastAttempts() const { return this->attempts; }
     /// True if a member ran, or may have run, any statement of the operation that began last.
     bool mayHaveRun() const { return this->operationMayHaveRun; }
+    /// True if the session has prepared statements.
+    bool hasPrepared() const { return !this->prepared.empty(); }
+    /// True if the operation that began last may have left something: a write or the commit of writes was sent.
+    bool mayHaveWritten() const { return this->operationMayHaveWritten; }
     /// Resets `mayHaveRun`. To be called before the first statement of an operation.
     void beginOperation() { this->operationMayHaveRun = false; }
 
@@ -138,6 +144,7 @@
     std::string memberId;
     unsigned attempts = 0;
     bool operationMayHaveRun = false;
+    bool operationMayHaveWritten = false;
     // True if the session is another instance's.
     bool adopted = false;
     // True if the statement is a read for which this instance is the gateway, so that its connection is kept.
--- a/src/standin/fleet_event.h
+++ b/src/standin/fleet_event.h
@@ -16,8 +16,10 @@
         Reload,
         /// Another configuration, a new instance, or a member that is replaced as planned.
         Change,
-        /// Anything that is not planned.
+        /// An instance is killed or suspended.
         Fault,
+        /// Something that is not planned happens to a member.
+        MemberFault,
     };
     Kind kind = Kind::Change;
     std::size_t instance = 0;
--- a/src/standin/lost_requests.cpp
+++ b/src/standin/lost_requests.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    // A fault excuses what is sent until this long after it.
+    // A fault of an instance excuses what is sent to it until this long after it. Those of members excuse nothing.
     constexpr std::chrono::milliseconds faultMemory { 4000 };
     // A request that is cut sooner after it was sent may not have been read.
     constexpr std::chrono::milliseconds unreadTime { 200 };
@@ -14,17 +14,17 @@
     bool isNearFault(const RequestRecord& request, const std::vector<FleetEvent>& events)
     {
         return std::any_of(events.begin(), events.end(), [&request](const FleetEvent& event) {
-            return event.kind == FleetEvent::Kind::Fault && event.from <= request.endedAt
-                && request.sentAt <= event.until + faultMemory;
+            return event.kind == FleetEvent::Kind::Fault && event.instance == request.instance
+                && event.from <= request.endedAt && request.sentAt <= event.until + faultMemory;
         });
     }
 
     bool isNearPlannedWork(const RequestRecord& request, const std::vector<FleetEvent>& events)
     {
         return std::any_of(events.begin(), events.end(), [&request](const FleetEvent& event) {
+            bool isPlanned = event.kind != FleetEvent::Kind::Fault && event.kind != FleetEvent::Kind::MemberFault;
             bool concerns = event.kind == FleetEvent::Kind::Change || event.instance == request.instance;
-            return event.kind != FleetEvent::Kind::Fault && concerns && event.from <= request.endedAt
-                && request.sentAt <= event.until;
+            return isPlanned && concerns && event.from <= request.endedAt && request.sentAt <= event.until;
         });
     }
 
--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -100,8 +100,11 @@
 bool Process::hasEnded()
 {
     this->collectOutput();
-    if (this->childPid > 0 && waitpid(this->childPid, nullptr, WNOHANG) == this->childPid)
+    int status = 0;
+    if (this->childPid > 0 && waitpid(this->childPid, &status, WNOHANG) == this->childPid) {
         this->childPid = -1;
+        this->foundStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
     return this->childPid <= 0;
 }
 
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -25,8 +25,10 @@
     std::string output();
     /// Takes over what the process has printed, so that its pipe does not fill up.
     void collectOutput() { this->readAvailableOutput(0); }
-    /// True if the process has ended by itself; it is then reaped.
+    /// True if the process has ended; it is then reaped.
     bool hasEnded();
+    /// Exit status that `hasEnded` has found; -1 if there is none or a signal has ended the process.
+    int exitStatus() const { return this->foundStatus; }
     /// Sends a signal, unless the process has been reaped.
     void sendSignal(int);
     /// Kills the process with SIGKILL and reaps it.
@@ -44,6 +46,7 @@
 
     /// -1 once the process has been reaped.
     pid_t childPid = -1;
+    int foundStatus = -1;
     int inputDescriptor = -1;
     int outputDescriptor = -1;
     std::string outputText;
--- a/testsuite/fault_soak/fault_soak.cpp
+++ b/testsuite/fault_soak/fault_soak.cpp
@@ -134,6 +134,12 @@
     EXPECT_EQ(fleet.lostCommits(), 0u) << "seed " << seed;
     EXPECT_EQ(found.lost.size(), 0u) << "seed " << seed;
     EXPECT_EQ(found.cut.size(), 0u) << "seed " << seed;
+    EXPECT_EQ(found.openings.size(), 0u) << "seed " << seed;
+    EXPECT_EQ(fleet.instancesThatEndedBadly(), 0u) << "seed " << seed;
+    // Without load, stops and promotions the checks above would show nothing.
+    EXPECT_GT(fleet.served(), fleet.operations() / 2) << "seed " << seed;
+    EXPECT_GT(fleet.stops(), 0u) << "seed " << seed;
+    EXPECT_TRUE(fleet.promotions() || !withFaults) << "seed " << seed;
     if (!testing::Test::HasFailure())
         return;
     std::printf("%s\n", fleet.history().c_str());
--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -243,6 +243,7 @@
         process.kill();
     if (!process.hasEnded())
         return;
+    this->badEnds += overdue || (!state.killed && process.exitStatus() != 0);
     this->outputs[i] += process.output();
     state.startAt = this->now() + restartDelay;
 }
@@ -279,6 +280,7 @@
     if (this->states[i].startAt)
         return;
     this->fronts->process(i).sendSignal(SIGKILL);
+    this->states[i].killed = true;
     this->noteEvent({ FleetEvent::Kind::Fault, i, this->now(), this->now(), "kill" });
 }
 
@@ -318,7 +320,7 @@
 
 void SoakFleet::disturb(const std::string& text, Milliseconds duration, const std::function<void()>& action)
 {
-    this->noteEvent({ FleetEvent::Kind::Fault, 0, this->now(), this->now() + duration, text });
+    this->noteEvent({ FleetEvent::Kind::MemberFault, 0, this->now(), this->now() + duration, text });
     this->runOnStandInThread(action);
 }
 
@@ -368,18 +370,29 @@
     return counts;
 }
 
-std::string SoakFleet::summary()
+std::size_t SoakFleet::stops() const
 {
-    auto found = this->unanswered();
-    std::size_t promotions = 0;
+    return static_cast<std::size_t>(std::count_if(this->events.begin(), this->events.end(),
+        [](const FleetEvent& event) { return event.kind == FleetEvent::Kind::Stop; }));
+}
+
+std::size_t SoakFleet::promotions()
+{
+    std::size_t count = 0;
     this->runOnStandInThread([&] {
         for (const auto& group : this->groups)
-            promotions += group->promotions();
+            count += group->promotions();
     });
+    return count;
+}
+
+std::string SoakFleet::summary()
+{
+    auto found = this->unanswered();
     return fmt::format(
         "seed {}: {} operations, {} served, {} connections refused, {} promotions; {} commits lost; requests "
         "without an answer: {} lost, {} other statements, {} openings",
-        this->seed, this->log->operations, this->log->served, this->log->refusedConnections, promotions,
+        this->seed, this->log->operations, this->log->served, this->log->refusedConnections, this->promotions(),
         this->lostCommits(), found.lost.size(), found.cut.size(), found.openings.size());
 }
 
--- a/testsuite/fault_soak/soak_fleet.h
+++ b/testsuite/fault_soak/soak_fleet.h
@@ -63,6 +63,13 @@
     void runOnStandInThread(const std::function<void()>&);
 
     UnansweredRequests unanswered();
+    /// Instances that ended by themselves with an error, or not within their time after SIGTERM.
+    std::size_t instancesThatEndedBadly() const { return this->badEnds; }
+    /// Instances that were told to stop.
+    std::size_t stops() const;
+    std::size_t operations() const { return this->log->operations; }
+    std::size_t served() const { return this->log->served; }
+    std::size_t promotions();
     /// Number of commits that callers were told of and that a promoted member's log lacked.
     std::size_t lostCommits();
     /// The errors that callers were given, with the number of each.
@@ -84,6 +91,7 @@
         // When it is started, if it has ended.
         std::optional<Milliseconds> startAt;
         std::optional<Milliseconds> resumeAt;
+        bool killed = false;
     };
     struct Replacement {
         std::size_t group = 0;
@@ -113,6 +121,7 @@
     std::vector<FleetEvent> events;
     std::vector<Replacement> replacements;
     std::size_t replacedMembers = 0;
+    std::size_t badEnds = 0;
     unsigned seed;
     int drainSeconds;
     int configurationVersion = 1;
--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -411,20 +411,62 @@
 TEST(Sessions, AnInstanceThatLeavesEndsItsSessionsBetweenRequests)
 {
     TestFleet fleet;
-    {
-        LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
-        runUntilNotBusy(caller, "READ seat");
-        fleet.fronts->process(0).sendSignal(SIGTERM);
-        std::string response = "DONE s";
-        for (int i = 0; i < maxWaitAttempts && response.find("DONE s") != std::string::npos; ++i) {
-            response = caller.run("READ seat");
-            EXPECT_TRUE(response.find("DONE s") != std::string::npos || response.find("ERR BUSY") == 0) << response;
-            EXPECT_NE(response.find("READY I"), std::string::npos) << response;
-            std::this_thread::sleep_for(waitInterval);
-        }
-        EXPECT_EQ(response.find("ERR BUSY"), 0u) << response;
+    LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+    runUntilNotBusy(caller, "READ seat");
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    std::string response = "DONE s";
+    for (int i = 0; i < maxWaitAttempts && response.find("DONE s") != std::string::npos; ++i) {
+        response = caller.run("READ seat");
+        EXPECT_TRUE(response.find("DONE s") != std::string::npos || response.find("ERR BUSY") == 0) << response;
+        EXPECT_NE(response.find("READY I"), std::string::npos) << response;
+        std::this_thread::sleep_for(waitInterval);
     }
+    EXPECT_EQ(response.find("ERR BUSY"), 0u) << response;
+    // The caller does not close its session, and the instance does.
     EXPECT_EQ(fleet.fronts->process(0).awaitExit(10), 0);
+    EXPECT_NE(fleet.fronts->process(0).output().find(R"("sessions_cut":"0")"), std::string::npos);
+}
+
+// Guards against a promise that nothing is kept in reply to a statement of an operation that has written.
+TEST(Sessions, AStatementAfterAWriteIsPromisedNothingWhenItsSessionEnds)
+{
+    TestFleet fleet;
+    LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+    runUntilNotBusy(caller, "READ seat");
+    caller.run("PREPARE q WRITE shape");
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    ASSERT_FALSE(fleet.fronts->process(0).awaitJsonLine("sessions").empty());
+    EXPECT_NE(caller.run("EXECUTE q seat taken").find("DONE s"), std::string::npos);
+    EXPECT_NE(caller.run("DEALLOC q").find("DONE"), std::string::npos);
+    // Idle sessions end after 0.5 s.
+    std::this_thread::sleep_for(std::chrono::milliseconds(850));
+    std::string response = caller.run("SET language ja");
+    EXPECT_EQ(response.find("ERR FAILED"), 0u) << response;
+    EXPECT_NE(response.find("READY I"), std::string::npos) << response;
+}
+
+// Guards against a notice in an open transaction: a statement that starts before transactions end, and ends once no
+// statement is started any more.
+TEST(Sessions, ATransactionIsRolledBackBeforeItsSessionEnds)
+{
+    TestFleet fleet;
+    LineCaller caller(fleet.callerAddresses[0], "primary-db", "key-1");
+    runUntilNotBusy(caller, "READ seat");
+    caller.run("BEGIN");
+    EXPECT_NE(caller.run("WRITE seat one").find("READY T"), std::string::npos);
+    fleet.fronts->process(0).sendSignal(SIGTERM);
+    ASSERT_FALSE(fleet.fronts->process(0).awaitJsonLine("sessions").empty());
+    fleet.runOnStandInThread([&] {
+        for (const auto& member : fleet.members)
+            member->setResponseDelay(std::chrono::milliseconds(650));
+    });
+    // Transactions end after 1 s of the instance's 2 s, and no statement is started after 1.4 s.
+    std::this_thread::sleep_for(std::chrono::milliseconds(850));
+    caller.run("WRITE seat two");
+    std::string response = caller.run("COMMIT");
+    EXPECT_EQ(response.find("ERR ABORTED"), 0u) << response;
+    EXPECT_NE(response.find("READY I"), std::string::npos) << response;
+    EXPECT_EQ(fleet.committed().size(), 0u);
 }
 
 // Guards against LOST at a planned stop: a session ends in the middle of its caller's operation.
