--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -279,9 +279,9 @@
 {
     if (this->states[i].startAt)
         return;
+    this->noteEvent({ FleetEvent::Kind::Fault, i, this->now(), this->now(), "kill" });
     this->fronts->process(i).sendSignal(SIGKILL);
     this->states[i].killed = true;
-    this->noteEvent({ FleetEvent::Kind::Fault, i, this->now(), this->now(), "kill" });
 }
 
 void SoakFleet::suspendInstance(std::size_t i, Milliseconds time)
