--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -243,7 +243,9 @@
         process.kill();
     if (!process.hasEnded())
         return;
-    this->badEnds += overdue || (!state.killed && process.exitStatus() != 0);
+    // One that is suspended can't end in time.
+    bool endedBadly = overdue ? !state.suspended : !state.killed && process.exitStatus() != 0;
+    this->badEnds += endedBadly;
     this->outputs[i] += process.output();
     state.startAt = this->now() + restartDelay;
 }
@@ -290,6 +292,7 @@
     if (state.startAt || state.killAt)
         return;
     this->fronts->process(i).sendSignal(SIGSTOP);
+    state.suspended = true;
     state.resumeAt = this->now() + time;
     this->noteEvent({ FleetEvent::Kind::Fault, i, this->now(), *state.resumeAt, "suspend" });
 }
--- a/testsuite/fault_soak/soak_fleet.h
+++ b/testsuite/fault_soak/soak_fleet.h
@@ -63,7 +63,7 @@
     void runOnStandInThread(const std::function<void()>&);
 
     UnansweredRequests unanswered();
-    /// Instances that ended by themselves with an error, or not within their time after SIGTERM.
+    /// Instances that ended by themselves with an error, or not within their time after SIGTERM although they ran.
     std::size_t instancesThatEndedBadly() const { return this->badEnds; }
     /// Instances that were told to stop.
     std::size_t stops() const;
@@ -92,6 +92,7 @@
         std::optional<Milliseconds> startAt;
         std::optional<Milliseconds> resumeAt;
         bool killed = false;
+        bool suspended = false;
     };
     struct Replacement {
         std::size_t group = 0;
