Repeat calls to ZeroMQ that a signal interrupts

Callers saw all sessions of an instance end at once, statements on their way without an answer, when SIGHUP or SIGTERM arrived while the instance received a message from a peer: the process aborted.

Cause: PeerLink reads until there is no message left, and the last read polls. A poll that finds nothing while a signal is pending returns EINTR, which zmq.hpp throws; nothing caught it.

Why it works: an interrupted call has done nothing and is made again. A message to be sent is no longer dropped for the same reason.

--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/digest.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
+#include <cerrno>
 #include <chrono>
 #include <list>
 #include <unordered_map>
@@ -36,6 +37,19 @@
 
     int milliseconds(std::chrono::milliseconds time) { return static_cast<int>(time.count()); }
 
+    // Calls again for as long as signals interrupt the call, which ZeroMQ reports as an error.
+    template <typename Call> auto repeatIfInterrupted(Call call)
+    {
+        for (;;) {
+            try {
+                return call();
+            } catch (const zmq::error_t& error) {
+                if (error.num() != EINTR)
+                    throw;
+            }
+        }
+    }
+
 } // namespace
 
 struct PeerLink::Sockets {
@@ -145,7 +159,8 @@
 {
     // ZeroMQ's descriptor is edge-triggered, so all pending messages are read before the next wait.
     zmq::message_t message;
-    while (this->sockets->receiver.recv(message, zmq::recv_flags::dontwait)) {
+    auto receiveNext = [&] { return this->sockets->receiver.recv(message, zmq::recv_flags::dontwait); };
+    while (repeatIfInterrupted(receiveNext)) {
         this->receivedBytes += message.size();
         std::string_view data = message.to_string_view();
         wire::Envelope envelope;
@@ -174,7 +189,8 @@
     std::string body = envelope.SerializeAsString();
     std::string frame = hmacSha256(body, this->secret) + body;
     try {
-        auto sent = this->sockets->socketFor(address).send(zmq::buffer(frame), zmq::send_flags::dontwait);
+        auto sent = repeatIfInterrupted(
+            [&] { return this->sockets->socketFor(address).send(zmq::buffer(frame), zmq::send_flags::dontwait); });
         if (sent) {
             this->sentBytes += frame.size();
             this->sentBytesByKind[static_cast<std::size_t>(envelope.body_case()) % kindCount] += frame.size();
--- a/src/libpeer/peer_link_test.cpp
+++ b/src/libpeer/peer_link_test.cpp
@@ -3,8 +3,10 @@
 #include "catkinlock/peer_link.h"
 #include "peer.pb.h"
 #include <boost/asio.hpp>
+#include <csignal>
 #include <gtest/gtest.h>
 #include <memory>
+#include <sys/time.h>
 #include <vector>
 
 using namespace catkinlock;
@@ -59,6 +61,33 @@
     int replies = 0;
 };
 
+// Interrupts this process's calls all the time.
+class Interruptions {
+public:
+    Interruptions()
+    {
+        struct sigaction action { };
+        action.sa_handler = [](int) {};
+        sigaction(SIGALRM, &action, &this->previous);
+        this->interruptEvery(std::chrono::microseconds(50));
+    }
+    ~Interruptions()
+    {
+        this->interruptEvery(std::chrono::microseconds(0));
+        sigaction(SIGALRM, &this->previous, nullptr);
+    }
+
+private:
+    void interruptEvery(std::chrono::microseconds interval)
+    {
+        timeval time { 0, interval.count() };
+        itimerval timer { time, time };
+        setitimer(ITIMER_REAL, &timer, nullptr);
+    }
+
+    struct sigaction previous { };
+};
+
 } // namespace
 
 // If fewer connections are kept than there are instances, each reply closes another one and drops what it still queues.
@@ -69,3 +98,13 @@
         fleet.runRound();
     EXPECT_EQ(fleet.replies, rounds * (instanceCount - 1));
 }
+
+// A signal that came while a message was received ended the process.
+TEST(PeerLink, MessagesArriveAlthoughSignalsInterruptEachCall)
+{
+    Fleet fleet;
+    Interruptions interruptions;
+    for (int i = 0; i < rounds; ++i)
+        fleet.runRound();
+    EXPECT_EQ(fleet.replies, rounds * (instanceCount - 1));
+}
