Read signals from a descriptor in both programs

Callers of `catkinlock serve` saw an instance end with all of their connections when SIGTERM came between the opening of its listener and the installation of its handler, or SIGHUP at any moment: both had their default effect. The other program, `front`, held the signals until its handlers stood, and from then on they interrupted its calls.

Now both block the signals for as long as the process runs and read them as events (signalfd). None has its default effect and none interrupts a call, so that a polled read of the log or of a message can't fail for it. `serve` has no settings to reload; it ignores SIGHUP.

--- a/src/catkinlock/front_command.cpp
+++ b/src/catkinlock/front_command.cpp
@@ -3,10 +3,10 @@
 #include "catkinlock/command.h"
 #include "catkinlock/front_settings.h"
 #include "catkinlock/log.h"
+#include "catkinlock/process_signals.h"
 #include "libsession/front_instance.h"
 #include "platform/platform.h"
 #include <array>
-#include <csignal>
 #include <fmt/format.h>
 
 namespace catkinlock {
@@ -31,17 +31,6 @@
         return nullptr;
     }
 
-    // Holds back the signals that an instance handles, or lets them through again, on this thread and on those that it
-    // starts later.
-    void holdSignals(bool hold)
-    {
-        sigset_t signals;
-        sigemptyset(&signals);
-        for (int signal : { SIGTERM, SIGINT, SIGHUP })
-            sigaddset(&signals, signal);
-        pthread_sigmask(hold ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
-    }
-
     // Prints every error to standard error.
     std::optional<FrontSettings> readFrontSettings(const std::string& path)
     {
@@ -60,9 +49,7 @@
 
 int runFront(const CommandOptions& options)
 {
-    // The default effect of these signals would end the process before the instance handles them and after it has
-    // ended.
-    holdSignals(true);
+    ProcessSignals::block();
     std::string path = options.settingsFile;
     auto settings = readFrontSettings(path);
     if (!settings)
@@ -75,10 +62,7 @@
     }
     setLogInstance(settings->name);
     FrontInstance instance(*settings, makePlatform, [path] { return readFrontSettings(path); });
-    holdSignals(false);
-    int status = instance.run();
-    holdSignals(true);
-    return status;
+    return instance.run();
 }
 
 } // namespace catkinlock
--- a/src/catkinlock/serve_command.cpp
+++ b/src/catkinlock/serve_command.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/command.h"
 #include "catkinlock/log.h"
 #include "catkinlock/operator_client.h"
+#include "catkinlock/process_signals.h"
 #include "catkinlock/tables.h"
 #include "libserver/instance.h"
 #include <boost/json.hpp>
@@ -48,6 +49,7 @@
 
 int runServe(const CommandOptions& options)
 {
+    ProcessSignals::block();
     Settings settings;
     if (!loadSettings(options.settingsFile, settings))
         return ExitInvalid;
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/platform_client.h"
+#include "catkinlock/process_signals.h"
 #include "catkinlock/rendezvous.h"
 #include "catkinlock/routing_view.h"
 #include "libserver/admission.h"
@@ -79,7 +80,7 @@
     asio::awaitable<void> runMaintenance();
     asio::awaitable<void> readInstanceList();
     asio::awaitable<void> leave();
-    asio::awaitable<void> awaitSignal();
+    asio::awaitable<void> awaitStop();
     asio::awaitable<std::pair<unsigned, std::string>> page(std::string path);
     asio::awaitable<std::pair<unsigned, std::string>> renderPage(std::string path);
     std::string statusPage() const;
@@ -89,6 +90,7 @@
     Settings settings;
     // Runs on the control thread, which is the one that calls `Instance::run`.
     asio::io_context control { 1 };
+    ProcessSignals signals { this->control };
     // Runs on the request threads.
     asio::io_context requests;
     InstanceLifecycle lifecycle;
@@ -189,7 +191,7 @@
     this->server->start();
     asio::co_spawn(this->control, this->runMaintenance(), asio::detached);
     asio::co_spawn(this->control, this->readInstanceList(), asio::detached);
-    asio::co_spawn(this->control, this->awaitSignal(), asio::detached);
+    asio::co_spawn(this->control, this->awaitStop(), asio::detached);
     for (std::uint32_t i = 0; i < this->settings.threads; ++i)
         this->threads.emplace_back([this] {
             registerSnapshotReader();
@@ -371,10 +373,12 @@
     }
 }
 
-asio::awaitable<void> Instance::Parts::awaitSignal()
+// SIGHUP has no effect: the settings are read once.
+asio::awaitable<void> Instance::Parts::awaitStop()
 {
-    asio::signal_set signals(this->control, SIGTERM, SIGINT);
-    co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
+    int signal = SIGHUP;
+    while (signal == SIGHUP)
+        signal = co_await this->signals.next();
     co_await this->leave();
 }
 
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -4,6 +4,7 @@
 #include "catkinlock/log.h"
 #include "catkinlock/membership.h"
 #include "catkinlock/peer_link.h"
+#include "catkinlock/process_signals.h"
 #include "catkinlock/rendezvous.h"
 #include "catkinlock/store_revision.h"
 #include "libserver/admission.h"
@@ -110,8 +111,7 @@
     void reportTraffic(TimePoint now);
     asio::awaitable<void> runMaintenance();
     asio::awaitable<void> runRequestMaintenance();
-    asio::awaitable<void> awaitShutdownSignal();
-    asio::awaitable<void> awaitReloadSignal();
+    asio::awaitable<void> handleSignals();
     asio::awaitable<void> pollSettings();
     void reload(const char* cause);
     asio::awaitable<void> drain();
@@ -120,10 +120,7 @@
     std::function<std::optional<FrontSettings>()> readSettings;
     // Context of the control thread: metadata store, peers, settings, promotions.
     asio::io_context control { 1 };
-    // Open for as long as this object exists, so that no signal has its default effect meanwhile, which would end the
-    // process.
-    asio::signal_set shutdownSignals { this->control, SIGTERM, SIGINT };
-    asio::signal_set reloadSignals { this->control, SIGHUP };
+    ProcessSignals signals { this->control };
     // Context of the request thread: sessions and connections to members.
     asio::io_context requests { 1 };
     std::shared_ptr<TimeSource> time = std::make_shared<SystemTime>(this->control);
@@ -278,8 +275,7 @@
     spawn(this->control, [this] { return this->runMaintenance(); });
     spawn(this->control, [this] { return this->learnFromPeers(); });
     spawn(this->requests, [this] { return this->runRequestMaintenance(); });
-    spawn(this->control, [this] { return this->awaitShutdownSignal(); });
-    spawn(this->control, [this] { return this->awaitReloadSignal(); });
+    spawn(this->control, [this] { return this->handleSignals(); });
     spawn(this->control, [this] { return this->pollSettings(); });
     this->requestThread = std::thread([this] {
         registerSnapshotReader();
@@ -574,17 +570,15 @@
     this->positions->queryIfStale(services, peers, Clock::now());
 }
 
-asio::awaitable<void> FrontInstance::Parts::awaitShutdownSignal()
-{
-    co_await this->shutdownSignals.async_wait(asio::as_tuple(asio::use_awaitable));
-    co_await this->drain();
-}
-
-asio::awaitable<void> FrontInstance::Parts::awaitReloadSignal()
+asio::awaitable<void> FrontInstance::Parts::handleSignals()
 {
+    bool leaving = false;
     for (;;) {
-        co_await this->reloadSignals.async_wait(asio::as_tuple(asio::use_awaitable));
-        this->reload("signal");
+        int signal = co_await this->signals.next();
+        if (signal == SIGHUP)
+            this->reload("signal");
+        else if (!std::exchange(leaving, true))
+            spawn(this->control, [this] { return this->drain(); });
     }
 }
 
--- a/testsuite/graceful_shutdown/graceful_shutdown.cpp
+++ b/testsuite/graceful_shutdown/graceful_shutdown.cpp
@@ -6,7 +6,9 @@
 #include <boost/json.hpp>
 #include <csignal>
 #include <gtest/gtest.h>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace catkinlock::standin;
 
@@ -65,6 +67,32 @@
     EXPECT_TRUE(fleet.caller(0).run("orders", insertBooking, { "a", "a" }, { fleet.key }).isDone());
 }
 
+// The default effect of a signal ended an instance that had opened its listener.
+TEST(GracefulShutdown, AnInstanceThatIsStoppedDuringItsStartEndsByItself)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    std::vector<std::string> command { Fleet::binaryFolder() + "/catkinlock", "serve", "--settings",
+        fleet.settingsFile("entry-late", "tenjin") };
+    std::vector<std::unique_ptr<Process>> stopped;
+    for (int i = 0; i < 8; ++i) {
+        stopped.push_back(std::make_unique<Process>(command));
+        ASSERT_FALSE(stopped.back()->awaitJsonLine("http").empty());
+        stopped.back()->sendSignal(SIGTERM);
+    }
+    for (const auto& process : stopped)
+        EXPECT_EQ(process->awaitExit(10), 0);
+}
+
+TEST(GracefulShutdown, ASignalToReloadDoesNotEndAnInstance)
+{
+    Fleet fleet({});
+    ASSERT_TRUE(fleet.start());
+    fleet.instance(0).sendSignal(SIGHUP);
+    EXPECT_EQ(fleet.instance(0).awaitExit(1), -1);
+    EXPECT_TRUE(fleet.caller(0).run("orders", insertBooking, { "a", "a" }, { fleet.key }).isDone());
+}
+
 TEST(GracefulShutdown, ATargetThatLeavesGetsNoNewReads)
 {
     Fleet fleet({});
