Don't take a primary for up to date that is behind another member

Callers could lose acknowledged commits at a promotion: choosePromotion may take the log of the primary in use for the whole group's, and addAbsentRuns named a member so by the group's record, or, without a record, because it alone says that it was a primary. Neither looked at its log.

Two cases, at the level of the decision only (no run of processes shows them): a primary whose disk was lost before its first run had been recorded, so that the restart is not known as one; and a former primary in a group without a record, when a replica that responds knows of a later term. Both tests failed before ("b" and "older" were chosen).

Why it works: the primary in use has the longest log and the latest term of its group, and a fenced member's report is final. A candidate behind another one is not it, whatever the record says; then the ordinary count of covered runs decides.

The first half of AMemberThatRestartedEmptyCountsAsNoWitness expected that a primary with an empty log vouches for a replica with seven commits, which was this fault. There the primary now has the seven commits as well and is chosen; its second half is unchanged, and the new test has the case that it had: no choice.

--- a/src/libsession/promotion_choice.cpp
+++ b/src/libsession/promotion_choice.cpp
@@ -14,6 +14,14 @@
         return std::pair(left.report.received, !left.draining) < std::pair(right.report.received, !right.draining);
     }
 
+    // True if another candidate reports what the primary in use would have too: a longer log, or a later term.
+    bool isBehind(const PromotionCandidate& candidate, const std::vector<PromotionCandidate>& candidates)
+    {
+        return std::any_of(candidates.begin(), candidates.end(), [&candidate](const PromotionCandidate& other) {
+            return other.report.received > candidate.report.received || other.report.term > candidate.report.term;
+        });
+    }
+
     // True if the candidate's report shows its log.
     bool hasResponded(const PromotionCandidate& candidate) { return candidate.report.term != 0; }
 
@@ -62,7 +70,7 @@
         bool sameRun = runsOfId[candidate.id] == 1;
         bool isInUse = old.term ? candidate.id == old.primary && candidate.report.term >= old.term
                                 : candidate.wasPrimary && formerPrimaries == 1;
-        candidate.hasEveryCommit = sameRun && isInUse;
+        candidate.hasEveryCommit = sameRun && isInUse && !isBehind(candidate, candidates);
     }
     for (const TargetRecord& target : listed)
         runs.erase(runOf(target));
--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -157,13 +157,42 @@
         candidate("c", false, false, 0) };
     GroupMembership membership { { runOf(listed("a", 1)), runOf(listed("b", 1)), runOf(listed("c", 1)) } };
     auto sameRun = candidates;
+    sameRun[0].report.received.lsn = 7;
     addAbsentRuns(sameRun, { listed("a", 1), listed("b", 1), listed("c", 1) }, membership, old);
-    EXPECT_EQ(choosePromotion(sameRun, PromotionTerms()), "b");
+    EXPECT_EQ(choosePromotion(sameRun, PromotionTerms()), "a");
     addAbsentRuns(candidates, { listed("a", 2), listed("b", 1), listed("c", 1) }, membership, old);
     EXPECT_EQ(candidates.size(), 4u);
     EXPECT_EQ(choosePromotion(candidates, PromotionTerms()), std::nullopt);
 }
 
+// Guards against LOST at a promotion: the first run of a primary ended before any instance had recorded it.
+TEST(PromotionChoice, APrimaryWithAShorterLogThanAReplicaDoesNotHaveEveryCommit)
+{
+    for (std::uint64_t term : { 0u, 1u }) {
+        std::vector<PromotionCandidate> candidates { candidate("a", true, true, 0), candidate("b", false, true, 7),
+            candidate("c", false, false, 0) };
+        std::vector<TargetRecord> members { listed("a", 2), listed("b", 1), listed("c", 1) };
+        GroupMembership membership { { runOf(members[0]), runOf(members[1]), runOf(members[2]) } };
+        addAbsentRuns(candidates, members, membership, { GroupRecord::State::Replacing, "a", term });
+        PromotionTerms terms;
+        terms.mayLackRuns = true;
+        EXPECT_EQ(choosePromotion(candidates, terms), std::nullopt);
+    }
+}
+
+// Guards against LOST at a promotion: a group without a record, in which only a replica still knows of the primary in
+// use, and another former one is listed.
+TEST(PromotionChoice, APrimaryOfAnEarlierTermThanAReplicaDoesNotHaveEveryCommit)
+{
+    std::vector<PromotionCandidate> candidates { candidate("older", true, true, 9), candidate("c", false, true, 9) };
+    candidates[1].report.term = 2;
+    std::vector<TargetRecord> members { listed("older", 1), listed("c", 1) };
+    GroupMembership membership { { runOf(members[0]), runOf(listed("b", 1)), runOf(members[1]),
+        runOf(listed("d", 1)) } };
+    addAbsentRuns(candidates, members, membership, { GroupRecord::State::Serving, "older", 0 });
+    EXPECT_EQ(choosePromotion(candidates, PromotionTerms()), std::nullopt);
+}
+
 // Guards against LOST at a promotion: a member that has registered since the members were fenced may have received
 // commits from the old primary.
 TEST(PromotionChoice, AMemberThatRegistersDuringTheFenceCountsAsARun)
