Order no promotion while a stale instance may write to the primary before

The leader fences the replicas and orders one of them to be promoted. The promotion ends the other replica's pause, as does the RESUME that follows. The primary comes back, and so does the instance, which still uses its view and sends a write there. If the replica is cut off from the new primary, it receives the commit from the one before, which acknowledges it. The new primary never has it.

Cause: the views of all instances were awaited after the promotion, before the record names the new primary, and not before the order. Until then a former primary that isn't fenced may be written to; the choice allows one such run.

The stand-in counts a commit as lost as well if a member acknowledges it after another has begun to lead, and can cut one member from another; the test polls every 20 ms in place of 5 since the wait may last 3 s.

Why it works: once no instance uses a view from before the record "replacing", nothing more is written to the primary before. Members that then report the logs that they were selected by have not received anything in between; if one has not, they are fenced and selected anew. A former primary that is fenced acknowledges nothing, so that a planned handover waits for nothing. Instances are asked for their views from the record's write on, beside the fence, in place of after the promotion.

--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -23,6 +23,8 @@
 
     // Between two rounds of fencing, and between two checks of the peers' views.
     constexpr Milliseconds stepInterval { 60 };
+    // Between two queries for the views of peers.
+    constexpr Milliseconds viewQueryInterval { 150 };
     // Between two status requests to a member that is being promoted.
     constexpr Milliseconds leadershipPollInterval { 80 };
     // Least time between two queries to peers about one primary.
@@ -531,19 +533,32 @@
     co_return 0;
 }
 
-// Waits until no instance uses a view from before `revision`, which was written at `writtenAt`.
-asio::awaitable<void> Promoter::awaitViews(std::int64_t revision, TimePoint writtenAt)
+// True if no instance uses a view from before the mark.
+bool Promoter::haveAllViews(const Mark& mark) const
 {
-    TimePoint allViewsExpired = writtenAt + this->parts.maxViewAge + viewAgeMargin;
-    while (Clock::now() < allViewsExpired) {
-        TimePoint now = Clock::now();
-        if (this->viewUsers.allHave(revision, this->parts.instance, now))
-            co_return;
-        for (const std::string& address : this->viewUsers.behind(revision, this->parts.instance, now)) {
+    TimePoint now = Clock::now();
+    return now >= mark.writtenAt + this->parts.maxViewAge + viewAgeMargin
+        || this->viewUsers.allHave(mark.revision, this->parts.instance, now);
+}
+
+// Asks instances for their views until none uses one from before the mark.
+asio::awaitable<void> Promoter::queryViews(Mark mark)
+{
+    auto self = this->shared_from_this();
+    while (!this->haveAllViews(mark)) {
+        for (const std::string& address : this->viewUsers.behind(mark.revision, this->parts.instance, Clock::now())) {
             wire::Envelope envelope;
-            envelope.mutable_view_query()->set_revision(revision);
+            envelope.mutable_view_query()->set_revision(mark.revision);
             this->parts.link->send(address, envelope);
         }
+        co_await this->sleepFor(viewQueryInterval);
+    }
+}
+
+asio::awaitable<void> Promoter::awaitViews(Mark mark)
+{
+    auto self = this->shared_from_this();
+    while (!this->haveAllViews(mark)) {
         co_await this->leaderLease->renewIfNeeded();
         co_await this->sleepFor(stepInterval);
     }
@@ -580,6 +595,7 @@
         if (target) {
             selected.target = *target;
             selected.isPromoted = promoted.has_value();
+            selected.candidates = std::move(candidates);
             co_return selected;
         }
         co_await this->sleepFor(stepInterval);
@@ -587,6 +603,41 @@
     co_return std::nullopt;
 }
 
+// Selects the member to promote once no commit can be acknowledged that the selected member lacks. As long as a former
+// primary is not fenced, an instance with a view from before the mark may write to it, and the promotion itself lets
+// replicas receive from it again.
+asio::awaitable<std::optional<Promoter::NewPrimary>> Promoter::selectFinally(
+    Decision decision, GroupRecord old, GroupMembership membership, Mark mark)
+{
+    auto self = this->shared_from_this();
+    auto selected = co_await this->selectNewPrimary(decision, old, membership);
+    if (!selected || selected->isPromoted || isFormerPrimaryFenced(selected->candidates))
+        co_return selected;
+    co_await this->awaitViews(mark);
+    bool final = co_await this->areLogsUnchanged(decision.service, selected->candidates);
+    if (!final)
+        selected = co_await this->selectNewPrimary(decision, old, membership);
+    co_return selected;
+}
+
+// True if the fenced candidates have received nothing since they reported.
+asio::awaitable<bool> Promoter::areLogsUnchanged(std::string service, std::vector<PromotionCandidate> candidates)
+{
+    auto self = this->shared_from_this();
+    std::erase_if(candidates, [](const PromotionCandidate& candidate) { return !candidate.fenced; });
+    auto members = this->parts.view->read()->membersOf(service);
+    std::erase_if(members, [&candidates](const TargetRecord& member) {
+        return std::none_of(candidates.begin(), candidates.end(),
+            [&member](const PromotionCandidate& candidate) { return candidate.id == member.id; });
+    });
+    auto reports = co_await this->members->reports(members, "");
+    co_return std::all_of(candidates.begin(), candidates.end(), [&reports](const PromotionCandidate& candidate) {
+        return std::any_of(reports.begin(), reports.end(), [&candidate](const PromotionCandidate& now) {
+            return now.id == candidate.id && !now.report.primary && now.report.received == candidate.report.received;
+        });
+    });
+}
+
 // Selects from the candidates, which are the `listed` members. Adds the other runs of the membership to them, those of
 // members that have registered since included. `prefersOthers`: no former primary is selected that would be replaced
 // again.
@@ -700,25 +751,27 @@
     GroupRecord replacing = old;
     replacing.state = GroupRecord::State::Replacing;
     // Also written if the record says so already: a write of the previous leader that is still on its way then fails.
-    std::int64_t revision = co_await this->writeRecord(service, expected, replacing);
-    TimePoint writtenAt = Clock::now();
-    if (!revision)
+    Mark mark;
+    mark.revision = co_await this->writeRecord(service, expected, replacing);
+    mark.writtenAt = Clock::now();
+    if (!mark.revision)
         co_return false;
+    spawn(this->context, [self, mark] { return self->queryViews(mark); });
     // The membership is read after the group was marked: from then on no run is removed from it.
     auto membership = co_await this->readMembership(service);
     if (!membership)
         co_return false;
-    auto selected = co_await this->selectNewPrimary(decision, old, *membership);
+    auto selected = co_await this->selectFinally(decision, old, *membership, mark);
     if (!selected)
         co_return false;
     std::uint64_t term = co_await this->makePrimary(decision, *selected);
     if (!term)
         co_return false;
-    co_await this->awaitViews(revision, writtenAt);
+    co_await this->awaitViews(mark);
     if (!this->mayAct(decision))
         co_return false;
     GroupRecord serving { GroupRecord::State::Serving, selected->target.id, term };
-    std::int64_t written = co_await this->writeRecord(service, revision, serving);
+    std::int64_t written = co_await this->writeRecord(service, mark.revision, serving);
     this->promotionCount += written != 0;
     writeLog(LogLevel::Info, "primary_serves",
         { { "service", service }, { "member", selected->target.id }, { "term", text(static_cast<std::int64_t>(term)) },
--- a/src/libsession/promoter.h
+++ b/src/libsession/promoter.h
@@ -140,8 +140,17 @@
         bool isPromoted = false;
         /// Highest term before the promotion.
         std::uint64_t oldTerm = 0;
+        /// All runs of the group, as they were when the member was selected.
+        std::vector<PromotionCandidate> candidates;
+    };
+    /// The write of a group's record that says that its primary is being replaced.
+    struct Mark {
+        std::int64_t revision = 0;
+        TimePoint writtenAt;
     };
     boost::asio::awaitable<std::optional<NewPrimary>> selectNewPrimary(Decision, GroupRecord old, GroupMembership);
+    boost::asio::awaitable<std::optional<NewPrimary>> selectFinally(Decision, GroupRecord old, GroupMembership, Mark);
+    boost::asio::awaitable<bool> areLogsUnchanged(std::string service, std::vector<PromotionCandidate>);
     boost::asio::awaitable<std::uint64_t> makePrimary(Decision, NewPrimary);
     std::function<bool()> guardOf(const Decision&);
     void resumeReplicas(const Decision&, const std::string& primary);
@@ -157,7 +166,9 @@
     boost::asio::awaitable<std::int64_t> writeRecord(std::string service, std::int64_t expected, GroupRecord);
     boost::asio::awaitable<bool> promote(Decision, std::string id);
     boost::asio::awaitable<std::uint64_t> awaitLeadership(TargetRecord, std::uint64_t oldTerm);
-    boost::asio::awaitable<void> awaitViews(std::int64_t revision, TimePoint writtenAt);
+    bool haveAllViews(const Mark&) const;
+    boost::asio::awaitable<void> queryViews(Mark);
+    boost::asio::awaitable<void> awaitViews(Mark);
     boost::asio::awaitable<void> sleepFor(Milliseconds);
 
     boost::asio::io_context& context;
--- a/src/libsession/promotion_choice.cpp
+++ b/src/libsession/promotion_choice.cpp
@@ -84,6 +84,17 @@
     }
 }
 
+bool isFormerPrimaryFenced(const std::vector<PromotionCandidate>& candidates)
+{
+    bool isKnown = false;
+    for (const PromotionCandidate& candidate : candidates) {
+        if (candidate.wasPrimary && !candidate.fenced)
+            return false;
+        isKnown = isKnown || candidate.wasPrimary;
+    }
+    return isKnown;
+}
+
 std::optional<std::string> findPromoted(const std::vector<PromotionCandidate>& members, const GroupRecord& old)
 {
     bool oldPrimaryListed = std::any_of(
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -58,6 +58,9 @@
 void addAbsentRuns(std::vector<PromotionCandidate>&, const std::vector<TargetRecord>& listed, const GroupMembership&,
     const GroupRecord& old);
 
+/// True if the former primary is known and no former primary can acknowledge a commit any more, whoever writes to it.
+bool isFormerPrimaryFenced(const std::vector<PromotionCandidate>&);
+
 /// Returns the member that an earlier replacement has promoted already, although the group's record does not say so
 /// yet: it reports that it is the primary of a later term than `old`'s. If the record has no term, it is the member
 /// other than `old.primary` that reports that it is the primary, provided that `old.primary` is listed: otherwise that
--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -94,6 +94,13 @@
     EXPECT_EQ(findPromoted(members, old), "again");
 }
 
+TEST(PromotionChoice, EachFormerPrimaryHasToBeFenced)
+{
+    EXPECT_FALSE(isFormerPrimaryFenced({ candidate("a", false, true, 7) }));
+    EXPECT_TRUE(isFormerPrimaryFenced({ candidate("old", true, true, 7), candidate("a", false, false, 7) }));
+    EXPECT_FALSE(isFormerPrimaryFenced({ candidate("old", true, true, 7), candidate("older", true, false, 0) }));
+}
+
 TEST(PromotionChoice, WaitsWhileAnAcknowledgedCommitIsMissing)
 {
     std::vector<PromotionCandidate> members { candidate("old", true, false, 0), candidate("a", false, true, 7),
--- a/src/standin/replicated_group.cpp
+++ b/src/standin/replicated_group.cpp
@@ -61,7 +61,8 @@
     if (primary.isSilent())
         return false;
     for (const auto& member : this->all) {
-        if (member.get() == &primary || !member->receives() || member->term > primary.term)
+        if (member.get() == &primary || !member->receives() || member->isCutFrom(primary)
+            || member->term > primary.term)
             continue;
         member->follow(primary);
         received = true;
@@ -132,6 +133,9 @@
 void ReplicatedGroup::recordAcknowledged(const ReplicatedMember& primary, const ReplicatedMember::Commit& commit)
 {
     this->acknowledgedCommits.push_back({ primary.memberId, commit, this->now() });
+    const ReplicatedMember* latest = this->primary();
+    if (latest && latest->term > primary.term)
+        this->checkLog(*latest);
 }
 
 void ReplicatedGroup::recordEvent(const std::string& event)
@@ -184,7 +188,7 @@
         if (member == target || member->primary || member->isSilent())
             continue;
         member->paused = false;
-        if (!member->deaf)
+        if (!member->deaf && !member->isCutFrom(*target))
             member->follow(*target);
     }
     co_await this->sleepFor(formerPrimaryTime);
--- a/src/standin/replicated_member.h
+++ b/src/standin/replicated_member.h
@@ -44,6 +44,8 @@
     bool isPrimary() const { return this->primary; }
     /// Sets whether the member receives nothing from a primary.
     void setDeaf(bool deaf) { this->deaf = deaf; }
+    /// Cuts the connection from another member, so that this one receives nothing from it as the primary.
+    void cutFrom(std::string member) { this->cutMember = std::move(member); }
     /// Stops the member for some time, as a machine that does not get the processor: what arrives meanwhile is carried
     /// out afterwards, however late.
     void freeze(std::chrono::milliseconds);
@@ -81,6 +83,7 @@
     std::string runCommand(const std::string& word, std::uint64_t term);
     bool isSilent() const { return std::chrono::steady_clock::now() < std::max(this->frozenUntil, this->darkUntil); }
     bool receives() const { return !this->primary && !this->paused && !this->deaf && !this->isSilent(); }
+    bool isCutFrom(const ReplicatedMember& member) const { return this->cutMember == member.memberId; }
     void follow(const ReplicatedMember& primary);
     std::string entry() const;
 
@@ -95,6 +98,8 @@
     bool primary = false;
     bool paused = false;
     bool deaf = false;
+    // Id of the member that it receives nothing from; empty if there is none.
+    std::string cutMember;
     bool draining = false;
     TimePoint frozenUntil;
     TimePoint darkUntil;
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -329,6 +329,49 @@
     EXPECT_NE(response.find("ERR ABORTED"), std::string::npos) << response;
 }
 
+// Guards against LOST at a promotion: an instance that stood still sends a write to the primary before, which comes
+// back, and a replica that was cut off from the new one receives it from there.
+TEST(Promotions, AWriteOfAnInstanceThatStoodStillIsNotAcknowledgedByThePrimaryBefore)
+{
+    PromotionFleet fleet(2);
+    const auto& members = fleet.group.members();
+    fleet.runOnStandInThread([&] {
+        fleet.group.setPromotionTime(milliseconds(100));
+        members[2]->setDeaf(true);
+    });
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    // A membership is complete 10 s after the start of a fleet.
+    std::this_thread::sleep_for(milliseconds(11000));
+    LineCaller caller(fleet.fronts->callerAddress(1), "primary-db", "key-1");
+    std::atomic<bool> ended = false;
+    std::thread client([&] { runClient(fleet, 0, ended, 1); });
+    fleet.runOnStandInThread([&] {
+        members[0]->goDark(minutes(1));
+        members[2]->cutFrom(members[1]->id());
+        members[2]->setDeaf(false);
+    });
+    // The line of a replacement that begins.
+    EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("others_suspecting").empty());
+    fleet.fronts->process(1).sendSignal(SIGSTOP);
+    auto response = std::async(std::launch::async, [&] { return caller.run("WRITE seat late"); });
+    bool promoted = false;
+    for (int i = 0; i < maxWriteAttempts && !promoted; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        fleet.runOnStandInThread([&] {
+            promoted = fleet.group.promotions() != 0;
+            if (promoted)
+                members[0]->goDark(milliseconds(0));
+        });
+    }
+    fleet.fronts->process(1).sendSignal(SIGCONT);
+    if (response.get().find("DONE s") != std::string::npos)
+        fleet.recordTold(caller.lastId());
+    ended = true;
+    client.join();
+    EXPECT_TRUE(promoted) << fleet.history();
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 // Guards against LOST after a loss of power: all instances restart without a memory of the positions that they
 // acknowledged, and then the primary is down while one replica lags.
 TEST(Promotions, NoCommitIsLostWhenAllInstancesRestartAtOnce)
