--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
+#include <filesystem>
+#include <fstream>
 #include <poll.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -82,6 +84,22 @@
     return this->outputText;
 }
 
+std::string Process::threadStates() const
+{
+    namespace fs = std::filesystem;
+    std::string states;
+    std::error_code error;
+    for (const auto& thread : fs::directory_iterator("/proc/" + std::to_string(this->childPid) + "/task", error)) {
+        for (const char* name : { "comm", "syscall" }) {
+            std::string line;
+            std::ifstream file(thread.path() / name);
+            std::getline(file, line);
+            states += line + (std::string(name) == "comm" ? " in " : "\n");
+        }
+    }
+    return states;
+}
+
 void Process::sendSignal(int signal)
 {
     if (this->childPid > 0)
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -23,6 +23,9 @@
     std::string awaitJsonLine(const std::string& field, double seconds = 20);
     /// Everything that the process has printed so far.
     std::string output();
+    /// A line for each thread of the process: its name, and the system call that it is in, with its arguments. Shows
+    /// what a process waits for that does not end.
+    std::string threadStates() const;
     /// Takes over what the process has printed, so that its pipe does not fill up.
     void collectOutput() { this->readAvailableOutput(0); }
     /// True if the process has ended; it is then reaped.
--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <csignal>
+#include <cstdio>
 #include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
@@ -239,8 +240,11 @@
         process.sendSignal(SIGCONT);
     }
     bool overdue = state.killAt && this->now() >= *state.killAt;
-    if (overdue)
+    if (overdue) {
+        if (!state.suspended)
+            std::printf("instance %zu is overdue, its threads:\n%s", i, process.threadStates().c_str());
         process.kill();
+    }
     if (!process.hasEnded())
         return;
     // One that is suspended can't end in time.
