Report a view to a leader when it is recent enough

A leader that waits for views asked each instance every 150 ms, and each replied with whatever revision it had. An instance now remembers who waits for which revision and replies once its view has it, so that one query and one reply do; a query is repeated after 500 ms. An instance of the release before replies at once as it did and is asked again.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -11,6 +11,7 @@
 #include "libserver/metrics_page.h"
 #include "libserver/service_level.h"
 #include "libserver/slot_keeper.h"
+#include "libsession/awaited_revisions.h"
 #include "libsession/drain_schedule.h"
 #include "libsession/membership_keeper.h"
 #include "libsession/page_server.h"
@@ -104,6 +105,7 @@
     void learnConfiguration(const KeyValue&);
     asio::awaitable<void> learnFromPeers();
     void handleMessage(const wire::Envelope&);
+    void reportRevision();
     bool isReady() const;
     Page readyPage(const std::string& path) const;
     Page metricsPage() const;
@@ -152,6 +154,7 @@
     std::uint64_t planSerial = 0;
     // Revision of the configuration in force; 0 before the first one.
     std::int64_t activeTablesRevision = 0;
+    AwaitedRevisions awaitedRevisions;
     // Revision of the own entry that was last requested from the store, because the view did not have it.
     std::int64_t requestedEntryRevision = 0;
     // Address at which peers send messages to this instance.
@@ -308,6 +311,7 @@
     this->followOwnEntry(next);
     this->promoter->recordView(next, this->freshness->confirmed(), Clock::now());
     this->view->replace(std::move(next));
+    this->reportRevision();
     if (tables->revision != this->activeTablesRevision) {
         this->activeTablesRevision = tables->revision;
         this->admission->updateTables(*tables);
@@ -429,12 +433,9 @@
         return this->readService->receiveRequest(sender, envelope.read_request());
     case wire::Envelope::kReadReply:
         return this->sessions->reads->receiveReply(envelope.sender(), envelope.read_reply());
-    case wire::Envelope::kViewQuery: {
-        wire::Envelope reply;
-        reply.mutable_view_note()->set_revision(this->mirror->revision());
-        this->link->send(sender, reply);
-        return;
-    }
+    case wire::Envelope::kViewQuery:
+        this->awaitedRevisions.record(sender, envelope.view_query().revision());
+        return this->reportRevision();
     default:
         // Ignored: messages that only instances for HTTP callers (class Instance) use, or that a later release has
         // added.
@@ -442,6 +443,17 @@
     }
 }
 
+// Tells the peers that wait for it that the view in use is recent enough for them.
+void FrontInstance::Parts::reportRevision()
+{
+    std::int64_t revision = this->view->read()->revision;
+    for (const std::string& address : this->awaitedRevisions.takeReached(revision)) {
+        wire::Envelope envelope;
+        envelope.mutable_view_note()->set_revision(revision);
+        this->link->send(address, envelope);
+    }
+}
+
 bool FrontInstance::Parts::isReady() const
 {
     return this->lifecycle.state() == InstanceLifecycle::State::Serving
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -23,8 +23,8 @@
 
     // Between two rounds of fencing, and between two checks of the peers' views.
     constexpr Milliseconds stepInterval { 60 };
-    // Between two queries for the views of peers.
-    constexpr Milliseconds viewQueryInterval { 150 };
+    // A peer replies once its view is recent enough. After this time a reply or its query counts as lost.
+    constexpr Milliseconds viewQueryInterval { 500 };
     // Between two status requests to a member that is being promoted.
     constexpr Milliseconds leadershipPollInterval { 80 };
     // Least time between two queries to peers about one primary.
@@ -541,7 +541,7 @@
         || this->viewUsers.allHave(mark.revision, this->parts.instance, now);
 }
 
-// Asks instances for their views until none uses one from before the mark.
+// Asks instances to report their views, until none uses one from before the mark.
 asio::awaitable<void> Promoter::queryViews(Mark mark)
 {
     auto self = this->shared_from_this();
--- a/src/libsession/view_users_test.cpp
+++ b/src/libsession/view_users_test.cpp
@@ -2,6 +2,7 @@
 // from the store, whose registrations end, and that leave, against a leader that starts at any time.
 
 #include "catkinlock/store_revision.h"
+#include "libsession/awaited_revisions.h"
 #include "libsession/view_freshness.h"
 #include "libsession/view_users.h"
 #include <algorithm>
@@ -38,6 +39,19 @@
 
 } // namespace
 
+TEST(AwaitedRevisions, APeerIsToldOnceWhenItsRevisionIsReached)
+{
+    AwaitedRevisions awaited;
+    awaited.record("a:1", 5);
+    awaited.record("b:1", 7);
+    EXPECT_TRUE(awaited.takeReached(4).empty());
+    EXPECT_EQ(awaited.takeReached(6), std::vector<std::string> { "a:1" });
+    EXPECT_TRUE(awaited.takeReached(6).empty());
+    awaited.record("b:1", 9);
+    EXPECT_TRUE(awaited.takeReached(8).empty());
+    EXPECT_EQ(awaited.takeReached(9), std::vector<std::string> { "b:1" });
+}
+
 TEST(ViewUsers, WaitsForARegisteredInstanceUntilItHasTheRevision)
 {
     ViewUsers users = settledLeader({ "leader", "a" });
