Soak: a planned signal before the main function is no bad end

Trace: it was killed at 30,677 ms and told to stop at 31,071 ms, some 90 ms after its relaunch; its log has no line of that run. The signal's default effect ended it, as nothing of the program had run that could block the signal. Thirty starts each, beside load: SIGTERM 0 to 20 ms after the start ended all of them silently, 40 ms after it 2.

Such a process has opened no listener and accepted nothing, so that no caller is concerned. An end by SIGTERM or SIGHUP with any output still counts, as does any other signal or status.

--- a/src/standin/process.cpp
+++ b/src/standin/process.cpp
@@ -122,6 +122,7 @@
     if (this->childPid > 0 && waitpid(this->childPid, &status, WNOHANG) == this->childPid) {
         this->childPid = -1;
         this->foundStatus = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        this->foundSignal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     }
     return this->childPid <= 0;
 }
--- a/src/standin/process.h
+++ b/src/standin/process.h
@@ -32,6 +32,8 @@
     bool hasEnded();
     /// Exit status that `hasEnded` has found; -1 if there is none or a signal has ended the process.
     int exitStatus() const { return this->foundStatus; }
+    /// Signal by which the process was ended, as `hasEnded` has found; 0 if there is none.
+    int endingSignal() const { return this->foundSignal; }
     /// Sends a signal, unless the process has been reaped.
     void sendSignal(int);
     /// Kills the process with SIGKILL and reaps it.
@@ -50,6 +52,7 @@
     /// -1 once the process has been reaped.
     pid_t childPid = -1;
     int foundStatus = -1;
+    int foundSignal = 0;
     int inputDescriptor = -1;
     int outputDescriptor = -1;
     std::string outputText;
--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -70,6 +70,13 @@
             database, shape.kind, shape.timeoutMs, shape.targetLatencyMs, shape.priority, group, shape.maxStalenessMs);
     }
 
+    // A planned signal that comes before the main function ends a process that has accepted nothing and said nothing.
+    bool wasEndedBeforeItBegan(Process& process)
+    {
+        bool isPlanned = process.endingSignal() == SIGTERM || process.endingSignal() == SIGHUP;
+        return isPlanned && process.output().empty();
+    }
+
 } // namespace
 
 SoakFleet::SoakFleet(std::string program, std::size_t instanceCount, int drainSeconds, unsigned seed)
@@ -248,7 +255,8 @@
     if (!process.hasEnded())
         return;
     // One that is suspended can't end in time.
-    bool endedBadly = overdue ? !state.suspended : !state.killed && process.exitStatus() != 0;
+    bool endedBadly
+        = overdue ? !state.suspended : !state.killed && process.exitStatus() != 0 && !wasEndedBeforeItBegan(process);
     this->badEnds += endedBadly;
     this->outputs[i] += process.output();
     state.startAt = this->now() + restartDelay;
