Fence the members again after a wait for views

Cause: after the wait only the fenced members' logs were compared. "Each instance has the new view" does not mean that nothing is on its way or waits in a primary that has come back.

Why it works: the second fence includes the former primary and makes it step down if it is back; the member is selected by what all report then. It is left out if all views were there at the end of the first fence. The wait also ends once this instance may no longer act.

--- a/src/libsession/replacement.cpp
+++ b/src/libsession/replacement.cpp
@@ -209,10 +209,11 @@
     }
 }
 
-asio::awaitable<void> GroupReplacer::awaitViews(Mark mark)
+// Waits until no instance uses a view from before the mark, or this one may no longer act.
+asio::awaitable<void> GroupReplacer::awaitViews(ReplacementDecision decision, Mark mark)
 {
     auto self = this->shared_from_this();
-    while (!this->haveAllViews(mark)) {
+    while (!this->haveAllViews(mark) && this->mayAct(decision)) {
         co_await this->parts.leaderLease->renewIfNeeded();
         co_await this->sleepFor(stepInterval);
     }
@@ -257,8 +258,7 @@
     co_return std::nullopt;
 }
 
-// Selects the member to promote once no commit can be acknowledged that the selected member lacks. As long as a former
-// primary is not fenced, an instance with a view from before the mark may write to it, and the promotion itself lets
+// Selects the member to promote once no instance writes to a former primary that is not fenced: the promotion lets
 // replicas receive from it again.
 asio::awaitable<std::optional<GroupReplacer::NewPrimary>> GroupReplacer::selectFinally(
     ReplacementDecision decision, GroupRecord old, GroupMembership membership, Mark mark)
@@ -267,29 +267,11 @@
     auto selected = co_await this->selectNewPrimary(decision, old, membership);
     if (!selected || selected->isPromoted || isFormerPrimaryFenced(selected->candidates))
         co_return selected;
-    co_await this->awaitViews(mark);
-    bool final = co_await this->areLogsUnchanged(decision.service, selected->candidates);
-    if (!final)
-        selected = co_await this->selectNewPrimary(decision, old, membership);
-    co_return selected;
-}
-
-// True if the fenced candidates have received nothing since they reported.
-asio::awaitable<bool> GroupReplacer::areLogsUnchanged(std::string service, std::vector<PromotionCandidate> candidates)
-{
-    auto self = this->shared_from_this();
-    std::erase_if(candidates, [](const PromotionCandidate& candidate) { return !candidate.fenced; });
-    auto members = this->parts.view->read()->membersOf(service);
-    std::erase_if(members, [&candidates](const TargetRecord& member) {
-        return std::none_of(candidates.begin(), candidates.end(),
-            [&member](const PromotionCandidate& candidate) { return candidate.id == member.id; });
-    });
-    auto reports = co_await this->members->reports(members, "");
-    co_return std::all_of(candidates.begin(), candidates.end(), [&reports](const PromotionCandidate& candidate) {
-        return std::any_of(reports.begin(), reports.end(), [&candidate](const PromotionCandidate& now) {
-            return now.id == candidate.id && !now.report.primary && now.report.received == candidate.report.received;
-        });
-    });
+    if (this->haveAllViews(mark))
+        co_return selected;
+    co_await this->awaitViews(decision, mark);
+    // A former primary may have come back and have been written to meanwhile.
+    co_return co_await this->selectNewPrimary(decision, old, membership);
 }
 
 // Selects from the candidates, which are the `listed` members. Adds the other runs of the membership to them, those of
@@ -418,7 +400,7 @@
     std::uint64_t term = co_await this->makePrimary(decision, *selected);
     if (!term)
         co_return false;
-    co_await this->awaitViews(mark);
+    co_await this->awaitViews(decision, mark);
     if (!this->mayAct(decision))
         co_return false;
     GroupRecord serving { GroupRecord::State::Serving, selected->target.id, term };
--- a/src/libsession/replacement.h
+++ b/src/libsession/replacement.h
@@ -95,12 +95,11 @@
     boost::asio::awaitable<std::uint64_t> awaitLeadership(TargetRecord, std::uint64_t oldTerm);
     bool haveAllViews(const Mark&) const;
     boost::asio::awaitable<void> queryViews(Mark);
-    boost::asio::awaitable<void> awaitViews(Mark);
+    boost::asio::awaitable<void> awaitViews(ReplacementDecision, Mark);
     boost::asio::awaitable<std::optional<NewPrimary>> selectNewPrimary(
         ReplacementDecision, GroupRecord old, GroupMembership);
     boost::asio::awaitable<std::optional<NewPrimary>> selectFinally(
         ReplacementDecision, GroupRecord old, GroupMembership, Mark);
-    boost::asio::awaitable<bool> areLogsUnchanged(std::string service, std::vector<PromotionCandidate>);
     std::optional<std::string> choose(const ReplacementDecision&, const GroupRecord& old, GroupMembership,
         const std::vector<TargetRecord>& listed, std::vector<PromotionCandidate>&, bool prefersOthers) const;
     bool otherMemberCanLead(
