Report no write as done once its primary is being replaced

Callers were told that a write is done and it was lost: the write is held up in a primary that stands still; meanwhile the primary is replaced, and the promotion lets the replicas receive again; the primary goes on, a replica that is cut off from the new one receives the commit from it, and the acknowledgement reaches the instance within the time of the statement.

Cause: the instance checked before it sent the write that the member is the primary in use, and not when the reply came. The order of a promotion waits for the views of all instances, which says nothing of what they had sent before.

The unit test failed before: DONE in place of INDOUBT.

Why it works: an instance reports its view only after it uses it, and no order is given before that. From then on it tells its callers of each acknowledgement by the former primary that the outcome is unknown. What it has told them before was acknowledged before the order, by a member or replica that the selection covers.

The cost: writes whose reply crosses the beginning of a planned handover, or comes after the instance's view has ended, get INDOUBT as well.

--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -303,16 +303,20 @@
     return std::move(forwarded.reply);
 }
 
+// True if the view in use confirms that the member is the service's primary.
+bool SessionRunner::isPrimaryInUse(const TargetPool& pool, const std::string& service) const
+{
+    auto primary = this->context->view->read()->primaryOf(service);
+    return primary && primary->id == pool.target().id && this->context->freshness->isFresh(Clock::now());
+}
+
 // Checks the caller's permission and the primary again just before a statement is sent: either may have changed while
 // the statement waited for a connection.
 bool SessionRunner::mayStillRun(const Placement& placement, const StatementCall& call) const
 {
     if (!call.isAllowed())
         return false;
-    if (!placement.isPrimary)
-        return true;
-    auto primary = this->context->view->read()->primaryOf(call.route.pool);
-    return primary && primary->id == placement.pool->target().id && this->context->freshness->isFresh(Clock::now());
+    return !placement.isPrimary || this->isPrimaryInUse(*placement.pool, call.route.pool);
 }
 
 asio::awaitable<SessionRunner::Attempt> SessionRunner::exchange(std::shared_ptr<TargetLink> link, Placement placement,
@@ -383,6 +387,11 @@
     // without these replies the position would be missing just then.
     if (done || attempt.reply.error == StatementError::Busy)
         this->context->groups->recordReplyPosition(*this->context->view->read(), request, attempt.reply.position, now);
+    // The next primary may lack what one acknowledges that is being replaced.
+    if (wrote && done && !this->isPrimaryInUse(*pool, call.route.pool)) {
+        attempt.outcome = Attempt::AttemptOutcome::ReplyLost;
+        attempt.reply.errorText = "the primary was replaced, or can't be confirmed, before its reply arrived";
+    }
     co_return attempt;
 }
 
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -131,6 +131,7 @@
     static bool wasRefusedAsBusy(const Attempt&);
     boost::asio::awaitable<void> sleepFor(Milliseconds);
     Placement transactionPlacement(const SessionStatement&) const;
+    bool isPrimaryInUse(const TargetPool&, const std::string& service) const;
     bool mayStillRun(const Placement&, const StatementCall&) const;
     boost::asio::awaitable<Attempt> exchange(
         std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, TimePoint deadline);
--- a/src/libsession/session_runner_test.cpp
+++ b/src/libsession/session_runner_test.cpp
@@ -134,6 +134,26 @@
     });
 }
 
+// Guards against LOST at a promotion: a write is on its way to a primary that is being replaced, which acknowledges it
+// although the next one will lack it.
+TEST(SessionRunner, AWriteIsNotReportedAsDoneOnceItsPrimaryIsBeingReplaced)
+{
+    RunnerFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.run(StatementKind::Read, "READ seat", Milliseconds(10000));
+        fixture.member->setResponseDelay(responseDelay);
+        asio::steady_timer timer(fixture.context, responseDelay / 2);
+        timer.async_wait([&](boost::system::error_code) {
+            FleetView view = *fixture.sessions->view->read();
+            view.groups["orders"].state = GroupRecord::State::Replacing;
+            fixture.sessions->view->replace(view);
+        });
+        auto reply = co_await fixture.run(StatementKind::Write, "WRITE seat one", Milliseconds(10000));
+        EXPECT_EQ(fixture.group->committedWriteIds.size(), 1u);
+        EXPECT_EQ(reply.error, StatementError::InDoubt);
+    });
+}
+
 // Half of the time goes to the opening of a connection. The reply that the write then waits for comes too late.
 TEST(SessionRunner, AWriteThatWaitedForAConnectionHasOnlyTheRestOfItsTime)
 {
