Test both moments at which a former primary and a stalled instance go on

The primary and an instance that stand still may go on while the leader waits for that instance's view, not only once another member leads. The writes then wait in the former primary for a replica until the promotion lets one receive.

--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -281,6 +281,72 @@
     EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
 }
 
+enum class StandstillEnd { AfterTheFence, WhenAnotherLeads };
+
+// Waits until a member has been promoted. False if that takes too long.
+bool awaitPromotion(PromotionFleet& fleet)
+{
+    bool promoted = false;
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!promoted && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(10));
+        fleet.runOnStandInThread([&] { promoted = fleet.group.promotions() != 0; });
+    }
+    return promoted;
+}
+
+// The primary and one instance stand still, and callers have writes at that instance. The replica that is not promoted
+// is cut off from the one that is.
+void playStandstill(StandstillEnd end)
+{
+    PromotionFleet fleet(2);
+    const auto& members = fleet.group.members();
+    fleet.runOnStandInThread([&] {
+        fleet.group.setPromotionTime(milliseconds(100));
+        members[2]->setDeaf(true);
+    });
+    EXPECT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat early"));
+    // A membership is complete 10 s after the start of a fleet.
+    std::this_thread::sleep_for(milliseconds(11000));
+    std::vector<std::unique_ptr<LineCaller>> callers;
+    for (int i = 0; i < 4; ++i)
+        callers.push_back(std::make_unique<LineCaller>(fleet.fronts->callerAddress(1), "primary-db", "key-1"));
+    std::atomic<bool> ended = false;
+    std::thread client([&] { runClient(fleet, 0, ended, 1); });
+    fleet.runOnStandInThread([&] {
+        members[0]->freeze(minutes(1));
+        members[2]->cutFrom(members[1]->id());
+        members[2]->setDeaf(false);
+    });
+    // The line of a replacement that begins.
+    EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("others_suspecting").empty());
+    fleet.fronts->process(1).sendSignal(SIGSTOP);
+    std::vector<std::future<void>> writes;
+    for (const auto& caller : callers) {
+        writes.push_back(std::async(std::launch::async, [&fleet, &caller] {
+            if (caller->run("WRITE seat late").find("DONE s") != std::string::npos)
+                fleet.recordTold(caller->lastId());
+        }));
+    }
+    if (end == StandstillEnd::AfterTheFence) {
+        // The line of the fence.
+        EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("chosen").empty());
+        std::this_thread::sleep_for(milliseconds(300));
+    } else
+        EXPECT_TRUE(awaitPromotion(fleet)) << fleet.history();
+    fleet.runOnStandInThread([&] { members[0]->freeze(milliseconds(0)); });
+    fleet.fronts->process(1).sendSignal(SIGCONT);
+    for (auto& write : writes)
+        write.get();
+    EXPECT_TRUE(awaitPromotion(fleet)) << fleet.history();
+    // A former primary goes on for a second.
+    std::this_thread::sleep_for(milliseconds(1200));
+    ended = true;
+    client.join();
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 } // namespace
 
 // Guards against LOST at a promotion: the lagging replica counts as the whole group.
@@ -333,43 +399,13 @@
 // back, and a replica that was cut off from the new one receives it from there.
 TEST(Promotions, AWriteOfAnInstanceThatStoodStillIsNotAcknowledgedByThePrimaryBefore)
 {
-    PromotionFleet fleet(2);
-    const auto& members = fleet.group.members();
-    fleet.runOnStandInThread([&] {
-        fleet.group.setPromotionTime(milliseconds(100));
-        members[2]->setDeaf(true);
-    });
-    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
-    // A membership is complete 10 s after the start of a fleet.
-    std::this_thread::sleep_for(milliseconds(11000));
-    LineCaller caller(fleet.fronts->callerAddress(1), "primary-db", "key-1");
-    std::atomic<bool> ended = false;
-    std::thread client([&] { runClient(fleet, 0, ended, 1); });
-    fleet.runOnStandInThread([&] {
-        members[0]->goDark(minutes(1));
-        members[2]->cutFrom(members[1]->id());
-        members[2]->setDeaf(false);
-    });
-    // The line of a replacement that begins.
-    EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("others_suspecting").empty());
-    fleet.fronts->process(1).sendSignal(SIGSTOP);
-    auto response = std::async(std::launch::async, [&] { return caller.run("WRITE seat late"); });
-    bool promoted = false;
-    for (int i = 0; i < maxWriteAttempts && !promoted; ++i) {
-        std::this_thread::sleep_for(milliseconds(20));
-        fleet.runOnStandInThread([&] {
-            promoted = fleet.group.promotions() != 0;
-            if (promoted)
-                members[0]->goDark(milliseconds(0));
-        });
-    }
-    fleet.fronts->process(1).sendSignal(SIGCONT);
-    if (response.get().find("DONE s") != std::string::npos)
-        fleet.recordTold(caller.lastId());
-    ended = true;
-    client.join();
-    EXPECT_TRUE(promoted) << fleet.history();
-    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+    playStandstill(StandstillEnd::WhenAnotherLeads);
+}
+
+// Guards against LOST at a promotion: the same, and both go on while the leader waits for the instance.
+TEST(Promotions, AWriteThatWaitsInThePrimaryBeforeIsNotAcknowledgedOnceAnotherLeads)
+{
+    playStandstill(StandstillEnd::AfterTheFence);
 }
 
 // Guards against LOST after a loss of power: all instances restart without a memory of the positions that they
