--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -167,6 +167,8 @@
     sameRun[0].report.received.lsn = 7;
     addAbsentRuns(sameRun, { listed("a", 1), listed("b", 1), listed("c", 1) }, membership, old);
     EXPECT_EQ(choosePromotion(sameRun, PromotionTerms()), "a");
+    // Its log is as long as the replica's, so that only the restart speaks against it.
+    candidates[0].report.received.lsn = 7;
     addAbsentRuns(candidates, { listed("a", 2), listed("b", 1), listed("c", 1) }, membership, old);
     EXPECT_EQ(candidates.size(), 4u);
     EXPECT_EQ(choosePromotion(candidates, PromotionTerms()), std::nullopt);
