Leave no entry of a peer whose connection can't be opened

An old entry at the end of the list would close a live connection. No test: what a caller could see needs hundreds of peers and a process without descriptors.

--- a/src/libpeer/peer_link.cpp
+++ b/src/libpeer/peer_link.cpp
@@ -92,8 +92,9 @@
             this->peers.erase(this->recentlyUsed.back());
             this->recentlyUsed.pop_back();
         }
+        zmq::socket_t socket = this->connect(address);
         this->recentlyUsed.push_front(address);
-        return this->peers.emplace(address, Peer { this->connect(address), this->recentlyUsed.begin() })
+        return this->peers.emplace(address, Peer { std::move(socket), this->recentlyUsed.begin() })
             .first->second.socket;
     }
 
