Ask for views in portions

The leader of a large fleet asked all instances for their views at once. Portions of 128 leave time for a connection. That each instance replies only once its view is recent enough, instead of at once, saves the repeated rounds; not measured in a fleet of that size.

--- a/src/libsession/replacement.cpp
+++ b/src/libsession/replacement.cpp
@@ -24,6 +24,10 @@
     constexpr Milliseconds stepInterval { 60 };
     // A peer replies once its view is recent enough. After this time a reply or its query counts as lost.
     constexpr Milliseconds viewQueryInterval { 500 };
+    // Queries are sent in portions, with a pause after each, since the link drops what it holds for the least recently
+    // used of several hundred peers.
+    constexpr std::size_t viewQueryPortion = 128;
+    constexpr Milliseconds viewQueryPause { 20 };
     // Between two status requests to a member that is being promoted.
     constexpr Milliseconds leadershipPollInterval { 80 };
     // After this time without a member that can be promoted safely, the instance gives up and another one may try.
@@ -200,10 +204,13 @@
 {
     auto self = this->shared_from_this();
     while (!this->haveAllViews(mark)) {
-        for (const std::string& address : this->viewUsers.behind(mark.revision, this->parts.instance, Clock::now())) {
+        auto behind = this->viewUsers.behind(mark.revision, this->parts.instance, Clock::now());
+        for (std::size_t i = 0; i < behind.size(); ++i) {
+            if (i && i % viewQueryPortion == 0)
+                co_await this->sleepFor(viewQueryPause);
             wire::Envelope envelope;
             envelope.mutable_view_query()->set_revision(mark.revision);
-            this->parts.link->send(address, envelope);
+            this->parts.link->send(behind[i], envelope);
         }
         co_await this->sleepFor(viewQueryInterval);
     }
