--- a/testsuite/graceful_shutdown/graceful_shutdown.cpp
+++ b/testsuite/graceful_shutdown/graceful_shutdown.cpp
@@ -90,6 +90,7 @@
     ASSERT_TRUE(fleet.start());
     fleet.instance(0).sendSignal(SIGHUP);
     EXPECT_EQ(fleet.instance(0).awaitExit(1), -1);
+    EXPECT_TRUE(fleet.instance(0).isRunning());
     EXPECT_TRUE(fleet.caller(0).run("orders", insertBooking, { "a", "a" }, { fleet.key }).isDone());
 }
 
