Pause after a failed accept of the pages' listener

Without descriptors the control thread accepted in vain all the time (review, trial with EMFILE: 2.0 million handlers and 1.96 s of processor time in 2 s), so that leases and views of the instance ended. The other listeners pause. No test of its own.

--- a/src/libsession/page_server.cpp
+++ b/src/libsession/page_server.cpp
@@ -16,6 +16,8 @@
 
     // A connection without a complete request or response within this time is closed.
     constexpr std::chrono::seconds idleTimeout { 30 };
+    // Delay after a failed accept, for example when the process is out of file descriptors.
+    constexpr Milliseconds acceptRetryDelay { 20 };
 
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
@@ -53,8 +55,11 @@
         auto [error, accepted] = co_await this->acceptor->socket.async_accept(asio::as_tuple(asio::use_awaitable));
         if (error == asio::error::operation_aborted)
             co_return;
-        if (error)
+        if (error) {
+            asio::steady_timer pause(this->context, acceptRetryDelay);
+            co_await pause.async_wait(asResult());
             continue;
+        }
         auto socket = std::make_shared<asio::ip::tcp::socket>(std::move(accepted));
         spawn(this->context, [self, socket] { return self->serve(std::move(*socket)); });
     }
