--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -309,8 +309,10 @@
     EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat early"));
     // A membership is complete 10 s after the start of a fleet.
     std::this_thread::sleep_for(milliseconds(11000));
+    constexpr std::size_t callerCount = 4;
     std::vector<std::unique_ptr<LineCaller>> callers;
-    for (int i = 0; i < 4; ++i)
+    callers.reserve(callerCount);
+    for (std::size_t i = 0; i < callerCount; ++i)
         callers.push_back(std::make_unique<LineCaller>(fleet.fronts->callerAddress(1), "primary-db", "key-1"));
     std::atomic<bool> ended = false;
     std::thread client([&] { runClient(fleet, 0, ended, 1); });
@@ -323,6 +325,7 @@
     EXPECT_FALSE(fleet.fronts->process(0).awaitJsonLine("others_suspecting").empty());
     fleet.fronts->process(1).sendSignal(SIGSTOP);
     std::vector<std::future<void>> writes;
+    writes.reserve(callers.size());
     for (const auto& caller : callers) {
         writes.push_back(std::async(std::launch::async, [&fleet, &caller] {
             if (caller->run("WRITE seat late").find("DONE s") != std::string::npos)
