--- a/src/include/catkinlock/caller_message.h
+++ b/src/include/catkinlock/caller_message.h
@@ -103,6 +103,9 @@
 /// True if the error guarantees that the statement had no effect.
 bool guaranteesNoEffect(StatementError);
 
+/// True for the errors by which a member refuses a statement before running any of it.
+bool isNotRun(StatementError);
+
 /// Transaction state of a session or connection between statements.
 enum class TransactionState {
     Idle,
--- a/src/include/catkinlock/peer_link.h
+++ b/src/include/catkinlock/peer_link.h
@@ -37,7 +37,7 @@
     bool send(const std::string& address, wire::Envelope&) override;
 
     /// A message's kind is the field number of its body in `Envelope` of peer.proto, below `kindCount`.
-    static constexpr std::size_t kindCount = 32;
+    static constexpr std::size_t kindCount = 48;
     /// Field name of a kind; empty if there is no such field.
     static std::string kindName(std::size_t kind);
     /// Bytes of the messages sent of one kind, which must be below `kindCount`, with their authentication codes. This
--- a/src/libcore/caller_message.cpp
+++ b/src/libcore/caller_message.cpp
@@ -35,4 +35,11 @@
 
 bool guaranteesNoEffect(StatementError error) { return traits[static_cast<std::size_t>(error)].noEffect; }
 
+bool isNotRun(StatementError error)
+{
+    return error == StatementError::Busy || error == StatementError::NoStatement || error == StatementError::Lagging
+        || error == StatementError::ReadOnly || error == StatementError::Misrouted
+        || error == StatementError::ConnectionLimit;
+}
+
 } // namespace catkinlock
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -244,6 +244,9 @@
     case wire::Envelope::kPositionsReply:
     case wire::Envelope::kReadRequest:
     case wire::Envelope::kReadReply:
+    case wire::Envelope::kStatementRequest:
+    case wire::Envelope::kStatementReply:
+    case wire::Envelope::kTransactionEnd:
     // A message of a kind that this release does not know has no body.
     case wire::Envelope::BODY_NOT_SET:
         return;
--- a/src/libsession/forwarded_read.h
+++ b/src/libsession/forwarded_call.h
@@ -17,35 +17,35 @@
 
 namespace catkinlock {
 
-/// A read outside a transaction, with the part of its session that a gateway needs to run it.
-struct ForwardedRead {
+/// A statement, with the part of its session that a gateway needs to run it.
+struct ForwardedCall {
     /// Pool, consistency, maximum age, objective and priority of the route.
     Route route;
     std::string workspace;
     /// Position of the session's last commit in the service; term 0 if it made none.
     Position lastCommit;
     std::map<std::string, std::string> values;
-    /// A read, or the execution of a prepared read.
     SessionStatement statement;
     /// Text of the prepared statement that is executed; empty if none is.
     std::string preparedText;
 
-    bool operator==(const ForwardedRead&) const = default;
+    bool operator==(const ForwardedCall&) const = default;
 };
 
-/// A gateway's reply to a forwarded read.
+/// A gateway's reply to a forwarded statement.
 struct ForwardedReply {
     TargetReply reply;
-    /// Id of the member that the read was sent to last; empty if to none.
+    /// Id of the member that the statement was sent to last; empty if to none.
     std::string member;
     unsigned attempts = 0;
 };
 
-void writeRead(const ForwardedRead&, Milliseconds timeLeft, wire::ReadRequest&);
-/// std::nullopt if a field has a value that no instance sends.
-std::optional<ForwardedRead> readRead(const wire::ReadRequest&);
-void writeReadReply(const ForwardedReply&, wire::ReadReply&);
-/// std::nullopt if the gateway could not serve the read, or if a field has a value that no instance sends.
-std::optional<ForwardedReply> readReadReply(const wire::ReadReply&);
+void writeCall(const ForwardedCall&, Milliseconds timeLeft, wire::ReadRequest&);
+/// The statement is taken for a read. std::nullopt if a field has a value that no instance sends.
+std::optional<ForwardedCall> readCall(const wire::ReadRequest&);
+void writeReply(const ForwardedReply&, wire::ReadReply&);
+/// std::nullopt if the gateway ran nothing, or if a field has a value that no instance sends. `isSigned`: a success has
+/// to have the signature of a member.
+std::optional<ForwardedReply> readReply(const wire::ReadReply&, bool isSigned);
 
 } // namespace catkinlock
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -13,6 +13,7 @@
 #include "libserver/slot_keeper.h"
 #include "libsession/awaited_revisions.h"
 #include "libsession/drain_schedule.h"
+#include "libsession/gateway_clocks.h"
 #include "libsession/membership_keeper.h"
 #include "libsession/page_server.h"
 #include "libsession/position_exchange.h"
@@ -26,6 +27,8 @@
 #include "libsession/session_front.h"
 #include "libsession/slot_directory.h"
 #include "libsession/spawn.h"
+#include "libsession/statement_forwarder.h"
+#include "libsession/statement_service.h"
 #include "libsession/store_mirror.h"
 #include "libsession/system_time.h"
 #include "libsession/target_groups.h"
@@ -36,6 +39,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <limits>
+#include <random>
 #include <thread>
 
 namespace catkinlock {
@@ -147,6 +151,7 @@
     std::shared_ptr<SessionContext> sessions = std::make_shared<SessionContext>();
     std::shared_ptr<SessionFront> front;
     std::shared_ptr<ReadService> readService;
+    std::shared_ptr<StatementService> statementService;
     std::shared_ptr<PageServer> readyServer;
     std::shared_ptr<PageServer> metricsServer;
     // The sources of store changes in the view with this serial number.
@@ -203,11 +208,18 @@
     this->sessions->freshness = this->freshness;
     this->sessions->level = this->level;
     this->sessions->groups = std::make_shared<TargetGroups>(
-        executor, this->platform.targetProtocol, this->freshness, this->settings.dataCentre);
-    this->sessions->reads = std::make_shared<ReadForwarder>(
-        ReadForwarder::Parts { this->control.get_executor(), executor, this->link, this->view, this->settings.name });
+        executor, this->platform.targetProtocol, this->freshness, this->settings.name, this->settings.dataCentre);
+    auto gateways = std::make_shared<GatewayChoice>();
+    auto clocks = std::make_shared<GatewayClocks>();
+    std::uint64_t run = static_cast<std::uint64_t>(std::random_device {}()) << 32 | std::random_device {}() | 1;
+    this->sessions->reads = std::make_shared<ReadForwarder>(ReadForwarder::Parts {
+        this->control.get_executor(), executor, this->link, this->view, gateways, clocks, this->settings.name });
+    this->sessions->statementForwarder = std::make_shared<StatementForwarder>(StatementForwarder::Parts {
+        this->control.get_executor(), executor, this->link, this->view, gateways, clocks, this->settings.name });
     this->readService = std::make_shared<ReadService>(
-        ReadService::Parts { this->control.get_executor(), this->link, this->sessions });
+        ReadService::Parts { this->control.get_executor(), this->link, this->sessions, run });
+    this->statementService = std::make_shared<StatementService>(
+        StatementService::Parts { this->control.get_executor(), this->link, this->sessions, run });
     this->front = std::make_shared<SessionFront>(this->requests, this->sessions);
     this->readyServer = std::make_shared<PageServer>(
         this->control, [this](const std::string& path) { return this->readyPage(path); });
@@ -433,6 +445,12 @@
         return this->readService->receiveRequest(sender, envelope.read_request());
     case wire::Envelope::kReadReply:
         return this->sessions->reads->receiveReply(envelope.sender(), envelope.read_reply());
+    case wire::Envelope::kStatementRequest:
+        return this->statementService->receiveRequest(sender, envelope.statement_request());
+    case wire::Envelope::kStatementReply:
+        return this->sessions->statementForwarder->receiveReply(sender, envelope.statement_reply());
+    case wire::Envelope::kTransactionEnd:
+        return this->statementService->receiveEnd(sender, envelope.transaction_end().transaction());
     case wire::Envelope::kViewQuery:
         this->awaitedRevisions.record(sender, envelope.view_query().revision());
         return this->reportRevision();
@@ -494,6 +512,12 @@
         { "reads_forwarded_total", "Reads that a gateway has replied to", count(this->sessions->reads->forwarded()),
             true },
         { "gateway_losses_total", "Reads that a gateway did not serve", count(this->sessions->reads->lost()), true },
+        { "statements_forwarded_total", "Statements of writes and transactions that a gateway has replied to",
+            count(this->sessions->statementForwarder->forwarded()), true },
+        { "statement_losses_total", "Statements of writes and transactions that a gateway did not run",
+            count(this->sessions->statementForwarder->lost()), true },
+        { "gateway_operations", "Writes and transactions in progress here for other instances",
+            count(this->statementService->open()) },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
     };
     return { 200, renderMetrics(metrics, *this->level) };
@@ -552,6 +576,7 @@
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         this->sessions->groups->refresh(*this->view->read(), Clock::now());
         this->sessions->groups->runMaintenance(Clock::now());
+        this->statementService->endOverdue(Clock::now());
         auto observations = this->sessions->groups->observations();
         auto acknowledged = this->sessions->groups->acknowledged();
         auto positions = this->sessions->groups->latestPositions();
@@ -639,7 +664,7 @@
         timer.expires_after(drainCheckInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         TimePoint now = Clock::now();
-        bool empty = !this->sessions->sessions.load();
+        bool empty = !this->sessions->sessions.load() && !this->statementService->open();
         bool done = empty && !accepting && !this->promoter->isLeader();
         if (done || now > schedule.processEnd)
             break;
--- a/src/libsession/gateway_choice.cpp
+++ b/src/libsession/gateway_choice.cpp
@@ -2,6 +2,8 @@
 
 #include "catkinlock/rendezvous.h"
 #include "libsession/fleet_view.h"
+#include <algorithm>
+#include <cmath>
 
 namespace catkinlock {
 
@@ -18,19 +20,26 @@
     // Makes the choice independent of other hashes of instance names.
     constexpr std::uint64_t gatewaySeed = 0x67617465776179;
 
-    // Name of the instance that comes first by rendezvous hashing with this key; empty if there is none.
-    std::string firstByHash(const FleetView& view, std::uint64_t key)
+    // A member's connections that each gateway of its service should have at least.
+    constexpr std::size_t connectionsPerGateway = 20;
+    // Bounds of the number of a service's gateways: one may fail, and each one sees enough of the members' load.
+    constexpr std::size_t minGateways = 2;
+    constexpr std::size_t maxGateways = 4;
+
+    // Rank of an instance by weighted rendezvous hashing; the least one comes first. An instance with twice the weight
+    // comes first twice as often.
+    double rankOf(const std::string& name, double weight, std::uint64_t key)
+    {
+        constexpr double hashRange = 18446744073709551616.0;
+        double uniform = (static_cast<double>(stableHash(name, key)) + 1) / hashRange;
+        return -std::log(std::min(uniform, 1.0)) / weight;
+    }
+
+    std::size_t gatewayCount(const FleetView& view, const std::string& service)
     {
-        std::string first;
-        std::uint64_t firstHash = 0;
-        for (const auto& [name, instance] : view.instances) {
-            std::uint64_t hash = stableHash(name, key);
-            if (!first.empty() && hash >= firstHash)
-                continue;
-            first = name;
-            firstHash = hash;
-        }
-        return first;
+        auto pool = view.tables->pools.find(service);
+        std::size_t connections = pool == view.tables->pools.end() ? 0 : pool->second.databases.front().connections;
+        return std::clamp(connections / connectionsPerGateway, minGateways, maxGateways);
     }
 
 } // namespace
@@ -40,45 +49,80 @@
     return connections < minConnectionsPerInstance * instances;
 }
 
-const std::string& GatewayChoice::first(const FleetView& view, const std::string& workspace, const std::string& service)
+std::vector<std::string> gatewaysOf(const FleetView& view, const std::string& service)
+{
+    std::uint64_t key = stableHash(service, gatewaySeed);
+    std::vector<std::pair<double, std::string>> ranked;
+    ranked.reserve(view.instances.size());
+    for (const auto& [name, instance] : view.instances)
+        ranked.emplace_back(rankOf(name, instance.cores > 0 ? instance.cores : 1, key), name);
+    std::size_t count = std::min(gatewayCount(view, service), ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<std::string> gateways;
+    gateways.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        gateways.push_back(ranked[i].second);
+    return gateways;
+}
+
+const std::vector<std::string>& GatewayChoice::orderFor(
+    const FleetView& view, const std::string& workspace, const std::string& service)
 {
-    if (this->knownSerial != view.serial)
-        this->known.clear();
+    if (this->knownSerial != view.serial) {
+        this->orders.clear();
+        this->byService.clear();
+    }
     this->knownSerial = view.serial;
-    auto [entry, added] = this->known.try_emplace({ workspace, service });
-    if (added)
-        entry->second = firstByHash(view, stableHash(workspace, stableHash(service, gatewaySeed)));
+    auto [entry, added] = this->orders.try_emplace({ workspace, service });
+    if (!added)
+        return entry->second;
+    auto [gateways, serviceAdded] = this->byService.try_emplace(service);
+    if (serviceAdded)
+        gateways->second = gatewaysOf(view, service);
+    std::uint64_t key = stableHash(workspace, stableHash(service, gatewaySeed));
+    entry->second = gateways->second;
+    std::sort(entry->second.begin(), entry->second.end(), [key](const std::string& left, const std::string& right) {
+        return std::pair(stableHash(left, key), left) < std::pair(stableHash(right, key), right);
+    });
     return entry->second;
 }
 
+bool GatewayChoice::isUsable(const std::string& gateway, GatewayUse use, TimePoint now) const
+{
+    auto found = this->avoided.find(gateway);
+    if (found == this->avoided.end())
+        return true;
+    return found->second.until <= now && (use == GatewayUse::Repeatable || !found->second.lost);
+}
+
 std::string GatewayChoice::choose(
-    const FleetView& view, const std::string& workspace, const std::string& service, TimePoint now)
+    const FleetView& view, const std::string& workspace, const std::string& service, GatewayUse use, TimePoint now)
 {
     if (now < this->pausedUntil)
         return "";
-    const std::string& gateway = this->first(view, workspace, service);
-    auto avoided = this->avoidedUntil.find(gateway);
-    bool usable = avoided == this->avoidedUntil.end() || avoided->second <= now;
-    return usable ? gateway : "";
+    for (const std::string& gateway : this->orderFor(view, workspace, service)) {
+        if (this->isUsable(gateway, use, now))
+            return gateway;
+    }
+    return "";
 }
 
 void GatewayChoice::recordReply(const std::string& gateway)
 {
-    this->avoidedUntil.erase(gateway);
+    this->avoided.erase(gateway);
     this->lostInRow = 0;
 }
 
 void GatewayChoice::recordLost(const std::string& gateway, TimePoint now)
 {
-    std::erase_if(this->avoidedUntil, [now](const auto& entry) { return entry.second <= now; });
-    this->avoidedUntil[gateway] = now + avoidFor;
+    this->avoided[gateway] = { now + avoidFor, true };
     if (++this->lostInRow >= lostUntilPause)
         this->pausedUntil = now + pauseFor;
 }
 
 void GatewayChoice::recordUnavailable(const std::string& gateway, TimePoint now)
 {
-    this->avoidedUntil[gateway] = now + avoidUnavailableFor;
+    this->avoided[gateway] = { now + avoidUnavailableFor, false };
     this->lostInRow = 0;
 }
 
--- /dev/null
+++ b/src/libsession/gateway_clocks.cpp
@@ -0,0 +1,44 @@
+#include "libsession/gateway_clocks.h"
+
+namespace catkinlock {
+
+namespace {
+
+    // Older requests are refused by a gateway. Long enough for a busy link between data centres.
+    constexpr Milliseconds maxRequestAge { 500 };
+    // An older sample is replaced even by a less exact one, since clocks run at slightly different speeds.
+    constexpr std::chrono::seconds sampleLifetime { 30 };
+
+} // namespace
+
+std::int64_t toClockMs(TimePoint time)
+{
+    return std::chrono::duration_cast<Milliseconds>(time.time_since_epoch()).count();
+}
+
+bool isCurrent(const GatewayTime& sentAt, const GatewayTime& now)
+{
+    return sentAt.run == now.run && now.clock - sentAt.clock <= maxRequestAge;
+}
+
+void GatewayClocks::record(const std::string& address, const GatewayTime& time, TimePoint requestedAt)
+{
+    if (!time.run)
+        return;
+    Sample next { time.run, time.clock - Milliseconds(toClockMs(requestedAt)), requestedAt };
+    Sample& known = this->samples[address];
+    bool isBetter = next.run != known.run || next.offset < known.offset
+        || next.takenAt - known.takenAt > Duration(sampleLifetime);
+    if (isBetter)
+        known = next;
+}
+
+GatewayTime GatewayClocks::at(const std::string& address, TimePoint now) const
+{
+    auto found = this->samples.find(address);
+    if (found == this->samples.end())
+        return {};
+    return { found->second.run, Milliseconds(toClockMs(now)) + found->second.offset };
+}
+
+} // namespace catkinlock
--- a/src/libsession/read_forwarder.cpp
+++ b/src/libsession/read_forwarder.cpp
@@ -17,18 +17,18 @@
     constexpr double replyTimeFraction = 0.75;
     constexpr Milliseconds minReplyTime { 150 };
 
-    Duration replyTime(const ForwardedRead& read, TimePoint now, TimePoint deadline)
-    {
-        auto wanted
-            = std::chrono::duration_cast<Milliseconds>(Milliseconds(read.route.latencyObjectiveMs) * replyTimeFraction);
-        return std::min<Duration>(std::max(wanted, minReplyTime), deadline - now);
-    }
-
 } // namespace
 
+Duration gatewayReplyTime(const Route& route, TimePoint now, TimePoint deadline)
+{
+    auto wanted = std::chrono::duration_cast<Milliseconds>(Milliseconds(route.latencyObjectiveMs) * replyTimeFraction);
+    return std::min<Duration>(std::max(wanted, minReplyTime), deadline - now);
+}
+
 struct ReadForwarder::Pending {
     Pending(const asio::any_io_executor& executor, TimePoint deadline, std::shared_ptr<LateReply> late)
         : ended(executor)
+        , sentAt(Clock::now())
         , deadline(deadline)
         , late(std::move(late))
     {
@@ -39,6 +39,7 @@
     std::string request;
     // Cancelled by the reply.
     asio::steady_timer ended;
+    TimePoint sentAt;
     TimePoint deadline;
     std::shared_ptr<LateReply> late;
     bool givenUp = false;
@@ -53,14 +54,15 @@
 }
 
 asio::awaitable<tl::expected<ForwardedReply, ForwardFailure>> ReadForwarder::forward(
-    ForwardedRead read, TimePoint deadline, std::shared_ptr<LateReply> late)
+    ForwardedCall read, TimePoint deadline, std::shared_ptr<LateReply> late)
 {
     auto self = this->shared_from_this();
     TimePoint now = Clock::now();
     auto view = this->parts.view->read();
-    std::string gateway = this->gateways.choose(*view, read.workspace, read.route.pool, now);
+    std::string gateway
+        = this->parts.gateways->choose(*view, read.workspace, read.route.pool, GatewayUse::Repeatable, now);
     if (gateway == this->parts.instance)
-        co_return tl::unexpected(ForwardFailure::OwnRead);
+        co_return tl::unexpected(ForwardFailure::OwnGateway);
     if (gateway.empty() || now >= deadline)
         co_return tl::unexpected(ForwardFailure::NotRun);
     std::uint64_t id = ++this->lastId;
@@ -69,40 +71,41 @@
     this->pendingReads[id] = pending;
     pending->gatewayAddress = view->instances.at(gateway).peerAddress;
     pending->request = read.statement.id;
-    pending->ended.expires_after(replyTime(read, now, deadline));
+    pending->ended.expires_after(gatewayReplyTime(read.route, now, deadline));
     this->send(pending->gatewayAddress, read, id, deadline);
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     pending->givenUp = !pending->replied;
     if (pending->reply) {
-        this->gateways.recordReply(gateway);
+        this->parts.gateways->recordReply(gateway);
         ++this->forwardedCount;
         co_return std::move(*pending->reply);
     }
     ++this->lostCount;
     if (pending->replied)
-        this->gateways.recordUnavailable(gateway, Clock::now());
+        this->parts.gateways->recordUnavailable(gateway, Clock::now());
     else
-        this->gateways.recordLost(gateway, Clock::now());
+        this->parts.gateways->recordLost(gateway, Clock::now());
     writeLog(LogLevel::Info, "gateway_lost",
         { { "request", read.statement.id }, { "gateway", gateway }, { "replied", pending->replied ? "yes" : "no" } });
     co_return tl::unexpected(pending->replied ? ForwardFailure::NotRun : ForwardFailure::ReplyLost);
 }
 
-void ReadForwarder::send(std::string address, const ForwardedRead& read, std::uint64_t id, TimePoint deadline)
+void ReadForwarder::send(std::string address, const ForwardedCall& read, std::uint64_t id, TimePoint deadline)
 {
     auto envelope = std::make_shared<wire::Envelope>();
     wire::ReadRequest& request = *envelope->mutable_read_request();
     request.set_id(id);
-    writeRead(read, std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()), request);
+    writeCall(read, std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()), request);
     asio::post(this->parts.control,
         [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
 }
 
 void ReadForwarder::receiveReply(const std::string& sender, const wire::ReadReply& message)
 {
-    ReplyOrigin origin { message.id(), sender, message.request() };
+    ReplyOrigin origin { message.id(), sender, message.request(),
+        { message.gateway_run(), Milliseconds(message.clock_ms()) } };
     asio::post(this->parts.requests,
-        [self = this->shared_from_this(), origin, reply = readReadReply(message)] { self->complete(origin, reply); });
+        [self = this->shared_from_this(), origin, reply = readReply(message, true)] { self->complete(origin, reply); });
 }
 
 void ReadForwarder::complete(const ReplyOrigin& origin, std::optional<ForwardedReply> reply)
@@ -117,6 +120,7 @@
     }
     std::shared_ptr<Pending> pending = found->second;
     this->pendingReads.erase(found);
+    this->parts.clocks->record(origin.sender, origin.repliedAt, pending->sentAt);
     if (pending->givenUp) {
         pending->late->reply = std::move(reply);
         return;
--- a/src/libsession/read_service.cpp
+++ b/src/libsession/read_service.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/peer_sender.h"
+#include "libsession/gateway_clocks.h"
 #include "libsession/session_context.h"
 #include "libsession/session_runner.h"
 #include "libsession/spawn.h"
@@ -28,7 +29,7 @@
 
 void ReadService::receiveRequest(const std::string& sender, const wire::ReadRequest& request)
 {
-    auto read = readRead(request);
+    auto read = readCall(request);
     if (!read) {
         writeLog(LogLevel::Warning, "read_request_rejected", { { "sender", sender } });
         return;
@@ -46,13 +47,14 @@
     return !sessions.drain && sessions.freshness->isFresh(Clock::now()) && this->running < maxRunning;
 }
 
-asio::awaitable<void> ReadService::serve(std::string sender, std::uint64_t id, ForwardedRead read, TimePoint deadline)
+asio::awaitable<void> ReadService::serve(std::string sender, std::uint64_t id, ForwardedCall read, TimePoint deadline)
 {
     auto self = this->shared_from_this();
     auto envelope = std::make_shared<wire::Envelope>();
     wire::ReadReply& message = *envelope->mutable_read_reply();
     message.set_id(id);
     message.set_request(read.statement.id);
+    message.set_gateway_run(this->parts.run);
     if (!this->isAvailable()) {
         message.set_unavailable(true);
         this->reply(std::move(sender), envelope);
@@ -68,19 +70,20 @@
     // The instance that received the read has checked the caller's key.
     call.isAllowed = [sessions] { return sessions->freshness->isFresh(Clock::now()); };
     SessionRunner runner(sessions);
-    runner.adopt(read);
+    runner.adopt(read, false);
     ++this->running;
     ForwardedReply forwarded;
     forwarded.reply = co_await runner.run(read.statement, call);
     --this->running;
     forwarded.member = runner.lastMember();
     forwarded.attempts = runner.lastAttempts();
-    writeReadReply(forwarded, message);
+    writeReply(forwarded, message);
     this->reply(std::move(sender), envelope);
 }
 
 void ReadService::reply(std::string address, std::shared_ptr<wire::Envelope> envelope)
 {
+    envelope->mutable_read_reply()->set_clock_ms(toClockMs(Clock::now()));
     asio::post(this->parts.control,
         [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
 }
--- a/src/libsession/read_service.h
+++ b/src/libsession/read_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libsession/forwarded_read.h"
+#include "libsession/forwarded_call.h"
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +25,8 @@
         boost::asio::any_io_executor control;
         std::shared_ptr<PeerSender> link;
         std::shared_ptr<SessionContext> sessions;
+        /// Random number of this process.
+        std::uint64_t run = 0;
     };
 
     explicit ReadService(Parts);
@@ -33,7 +35,7 @@
     void receiveRequest(const std::string& sender, const wire::ReadRequest&);
 
 private:
-    boost::asio::awaitable<void> serve(std::string sender, std::uint64_t id, ForwardedRead, TimePoint deadline);
+    boost::asio::awaitable<void> serve(std::string sender, std::uint64_t id, ForwardedCall, TimePoint deadline);
     bool isAvailable() const;
     void reply(std::string address, std::shared_ptr<wire::Envelope>);
 
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -4,7 +4,6 @@
 #include "catkinlock/digest.h"
 #include "catkinlock/log.h"
 #include "catkinlock/refusal.h"
-#include "libserver/admission.h"
 #include "libserver/service_level.h"
 #include "libsession/view_freshness.h"
 #include <boost/asio.hpp>
@@ -307,7 +306,7 @@
         return tl::unexpected(refusal);
     }
     // A caller without a valid key, on an open route, belongs to no workspace and is not limited in its rate.
-    call.workspace = key == view->tables->keys.end() ? "-" : key->second.workspace;
+    call.workspace = key == view->tables->keys.end() ? noWorkspace : key->second.workspace;
     call.arrivedAt = now;
     Milliseconds limit(call.route.statementTimeoutMs);
     call.deadline = now + (limit.count() ? limit - responseMargin : defaultStatementTimeout);
@@ -360,27 +359,7 @@
         this->recordOutcome(statement, refusal, {});
         co_return refusal;
     }
-    bool startsNewOperation = this->runner.startsOperation(statement) && call->workspace != "-";
-    if (startsNewOperation) {
-        TimePoint waitUntil = call->endOfCapacityWait(call->arrivedAt);
-        // Leaves half of the time for the statement itself.
-        TimePoint waitUntilAtStart = call->arrivedAt + (call->deadline - call->arrivedAt) / 2;
-        auto admitted = co_await this->context->admission->admit(call->workspace, waitUntil, waitUntilAtStart);
-        if (!admitted) {
-            TargetReply refusal;
-            refusal.error = StatementError::Busy;
-            refusal.errorText = admitted.error().message;
-            this->recordOutcome(statement, refusal, *call);
-            co_return refusal;
-        }
-    }
-    if (startsNewOperation) {
-        this->runner.beginOperation();
-        this->operationToken.take();
-    }
     TargetReply reply = co_await this->runner.run(statement, *call);
-    if (this->operationToken.recordReply(reply.error.has_value(), this->runner.mayHaveRun(), this->runner.state()))
-        this->context->admission->refund(call->workspace);
     if (this->runner.state() == TransactionState::Idle)
         this->transactionRoute.reset();
     else if (!this->transactionRoute)
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -3,7 +3,6 @@
 #include "catkinlock/caller_message.h"
 #include "catkinlock/clock.h"
 #include "catkinlock/target_message.h"
-#include "libsession/operation_token.h"
 #include "libsession/session_context.h"
 #include "libsession/session_runner.h"
 #include <boost/asio/awaitable.hpp>
@@ -61,7 +60,6 @@
     std::optional<Route> transactionRoute;
     // Bytes read from the caller that are not decoded yet.
     std::string received;
-    OperationToken operationToken;
     // True while the session reads from the connection and runs no request.
     bool awaitingInput = false;
     // Statements received, and the last of them.
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -17,6 +17,7 @@
 class CallerProtocol;
 class ReadForwarder;
 class ServiceLevel;
+class StatementForwarder;
 class TargetGroups;
 class ViewFreshness;
 
@@ -36,6 +37,8 @@
     std::shared_ptr<ServiceLevel> level;
     /// Sends reads to gateways; null if this instance runs all of them itself.
     std::shared_ptr<ReadForwarder> reads;
+    /// Sends writes and transactions to gateways; null if this instance runs all of them itself.
+    std::shared_ptr<StatementForwarder> statementForwarder;
     /// Set once the instance drains: each session then ends after its next operation.
     /// Request thread only.
     std::optional<DrainSchedule> drain;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
+#include "libserver/admission.h"
 #include "libsession/read_forwarder.h"
 #include "libsession/spawn.h"
 #include "libsession/target_link.h"
@@ -25,12 +26,9 @@
     // A connection whose rollback takes longer is closed.
     constexpr Milliseconds rollbackTimeout { 500 };
 
-    // True for the errors by which a member refuses a statement before running any of it.
-    bool isNotRun(StatementError error)
+    bool begins(const SessionStatement& statement)
     {
-        return error == StatementError::Busy || error == StatementError::NoStatement || error == StatementError::Lagging
-            || error == StatementError::ReadOnly || error == StatementError::Misrouted
-            || error == StatementError::ConnectionLimit;
+        return statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginRead;
     }
 
     // Rolls back the open transaction on the connection, and returns the connection to its pool. A connection on which
@@ -60,6 +58,7 @@
 
 SessionRunner::SessionRunner(std::shared_ptr<SessionContext> context)
     : context(std::move(context))
+    , gateway(this->context)
 {
 }
 
@@ -97,6 +96,7 @@
 
 void SessionRunner::abandon()
 {
+    this->gateway.endTransaction();
     if (this->transaction.pool)
         this->setIdleInTransaction(false);
     if (this->transaction.link)
@@ -202,104 +202,217 @@
     return reply;
 }
 
-asio::awaitable<TargetReply> SessionRunner::run(SessionStatement statement, StatementCall call)
+// Returns the reply to a statement that the session's state does not allow; std::nullopt if it does.
+std::optional<TargetReply> SessionRunner::refuseByState(const SessionStatement& statement)
 {
     TransactionState before = this->transaction.state;
-    if (this->startsOperation(statement))
-        this->operationMayHaveWritten = false;
     bool endsTransaction = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     if (std::exchange(this->transaction.failureUnreported, false) && !endsTransaction)
-        co_return this->refuse(
+        return this->refuse(
             StatementError::Aborted, "the transaction was rolled back because it was idle or its instance is leaving");
     if (before == TransactionState::Failed && !endsTransaction)
-        co_return this->refuse(
+        return this->refuse(
             StatementError::Malformed, "the transaction has failed; end it before sending other statements");
     if (before == TransactionState::Failed && statement.kind == StatementKind::Commit) {
         this->transaction.state = TransactionState::Idle;
-        co_return this->refuse(StatementError::Aborted, "the transaction was rolled back");
+        return this->refuse(StatementError::Aborted, "the transaction was rolled back");
     }
-    bool beginsTransaction = statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginRead;
-    if (beginsTransaction && before == TransactionState::Open)
-        co_return this->refuse(StatementError::Malformed, "a transaction is already open in this session");
+    if (begins(statement) && before == TransactionState::Open)
+        return this->refuse(StatementError::Malformed, "a transaction is already open in this session");
     if (endsTransaction && before == TransactionState::Idle)
-        co_return this->refuse(StatementError::Malformed, "no transaction is open in this session");
+        return this->refuse(StatementError::Malformed, "no transaction is open in this session");
     if (statement.kind == StatementKind::Execute && !this->prepared.count(statement.name))
-        co_return this->refuse(StatementError::NoStatement, "no such prepared statement");
-    bool runsOnMember = statement.kind == StatementKind::Read || statement.kind == StatementKind::Write
-        || statement.kind == StatementKind::Execute || statement.kind == StatementKind::Commit;
-    if (!runsOnMember)
-        co_return this->runLocally(statement);
-    if (statement.kind == StatementKind::Commit)
-        co_return co_await this->commit(std::move(statement), std::move(call));
-    if (before == TransactionState::Open)
-        co_return co_await this->runInTransaction(std::move(statement), std::move(call));
-    if (this->writes(statement))
-        co_return co_await this->writeOutsideTransaction(std::move(statement), std::move(call));
-    co_return co_await this->read(std::move(statement), std::move(call));
+        return this->refuse(StatementError::NoStatement, "no such prepared statement");
+    return std::nullopt;
 }
 
-// Runs a read at its gateway, or here if that fails. A reply of the gateway that came too late is used if it is the
-// only one.
-asio::awaitable<TargetReply> SessionRunner::read(SessionStatement statement, StatementCall call)
+asio::awaitable<TargetReply> SessionRunner::run(SessionStatement statement, StatementCall call)
+{
+    bool starts = this->startsOperation(statement);
+    if (starts) {
+        this->operationMayHaveWritten = false;
+        this->operationMayHaveRun = false;
+    }
+    if (auto refusal = this->refuseByState(statement))
+        co_return std::move(*refusal);
+    TargetReply reply;
+    if (starts)
+        reply = co_await this->startOperation(std::move(statement), call);
+    else
+        reply = co_await this->runHere(std::move(statement), call);
+    if (this->operationToken.recordReply(reply.error.has_value(), this->operationMayHaveRun, this->state()))
+        this->context->admission->refund(call.workspace);
+    co_return reply;
+}
+
+// Runs the first statement of an operation at the gateway of its workspace, or here if there is none or it can't. The
+// operation's rate token is taken where it runs.
+asio::awaitable<TargetReply> SessionRunner::startOperation(SessionStatement statement, StatementCall call)
 {
     auto late = std::make_shared<LateReply>();
-    auto forwarded = co_await this->readThroughGateway(statement, call, late);
+    auto forwarded = co_await this->startAtGateway(statement, call, late);
     if (forwarded)
         co_return std::move(*forwarded);
-    TargetReply reply = co_await this->readOutsideTransaction(std::move(statement), std::move(call));
+    auto refusal = co_await this->admit(call);
+    TargetReply reply;
+    if (refusal)
+        reply = std::move(*refusal);
+    else
+        reply = co_await this->runHere(std::move(statement), call);
+    // A reply of the gateway to a read that came too late is used if it is the only one.
     if (reply.error && late->reply && !late->reply->reply.error)
         co_return this->takeReply(std::move(*late->reply));
     co_return reply;
 }
 
-void SessionRunner::adopt(const ForwardedRead& read)
+// Takes a rate token for an operation of the workspace. Returns the reply to the caller if there is none. A caller
+// without a workspace, on an open route, has no rate.
+asio::awaitable<std::optional<TargetReply>> SessionRunner::admit(StatementCall call)
+{
+    if (!this->context->admission || call.workspace == noWorkspace)
+        co_return std::nullopt;
+    TimePoint waitUntil = call.endOfCapacityWait(call.arrivedAt);
+    // Leaves half of the time for the statement itself.
+    TimePoint waitUntilAtStart = call.arrivedAt + (call.deadline - call.arrivedAt) / 2;
+    auto admitted = co_await this->context->admission->admit(call.workspace, waitUntil, waitUntilAtStart);
+    if (!admitted)
+        co_return this->refuse(StatementError::Busy, admitted.error().message);
+    this->operationToken.take();
+    co_return std::nullopt;
+}
+
+// Runs a statement on this instance's own connections.
+asio::awaitable<TargetReply> SessionRunner::runHere(SessionStatement statement, StatementCall call)
+{
+    bool runsOnMember = statement.kind == StatementKind::Read || statement.kind == StatementKind::Write
+        || statement.kind == StatementKind::Execute || statement.kind == StatementKind::Commit;
+    if (!runsOnMember)
+        co_return this->runLocally(statement);
+    if (this->gateway.inTransaction())
+        co_return co_await this->continueAtGateway(std::move(statement), std::move(call));
+    if (statement.kind == StatementKind::Commit)
+        co_return co_await this->commit(std::move(statement), std::move(call));
+    if (this->transaction.state == TransactionState::Open)
+        co_return co_await this->runInTransaction(std::move(statement), std::move(call));
+    if (this->writes(statement))
+        co_return co_await this->writeOutsideTransaction(std::move(statement), std::move(call));
+    co_return co_await this->readOutsideTransaction(std::move(statement), std::move(call));
+}
+
+void SessionRunner::adopt(const ForwardedCall& call, bool preparedWrites)
 {
     this->adopted = true;
     this->keepsConnection = true;
-    this->values = read.values;
-    if (read.lastCommit.term)
-        this->committedPositions[read.route.pool] = read.lastCommit;
-    if (read.statement.kind != StatementKind::Execute)
+    this->values = call.values;
+    if (call.lastCommit.term)
+        this->committedPositions[call.route.pool] = call.lastCommit;
+    if (call.statement.kind != StatementKind::Execute)
         return;
     SessionStatement prepare;
     prepare.kind = StatementKind::Prepare;
-    prepare.name = read.statement.name;
-    prepare.argument = read.preparedText;
+    prepare.name = call.statement.name;
+    prepare.argument = call.preparedText;
+    prepare.writes = preparedWrites;
     this->prepared[prepare.name] = prepare;
 }
 
-// Has the gateway run a read, if this instance's share of the members' connections is too small to keep one for it.
-// std::nullopt if the read is to be run here.
-asio::awaitable<std::optional<TargetReply>> SessionRunner::readThroughGateway(
+// The statement with what a gateway needs of the session to run it.
+ForwardedCall SessionRunner::describe(const SessionStatement& statement, const StatementCall& call) const
+{
+    ForwardedCall described;
+    described.route = call.route;
+    described.workspace = call.workspace;
+    described.lastCommit = this->readRequirements(call).lastCommit;
+    described.values = this->values;
+    if (statement.kind == StatementKind::Execute)
+        described.preparedText = this->prepared.at(statement.name).argument;
+    described.statement = statement;
+    return described;
+}
+
+// Has the gateway start an operation, if this instance's share of the members' connections is too small to keep one for
+// it. std::nullopt if the operation is to be run here.
+asio::awaitable<std::optional<TargetReply>> SessionRunner::startAtGateway(
     SessionStatement statement, StatementCall call, std::shared_ptr<LateReply> late)
 {
-    bool forwards = !this->adopted && this->context->reads && this->context->groups->usesGateways(call.route.pool);
-    if (!forwards)
+    if (this->adopted || !this->gateway.isUsedFor(call.route.pool))
         co_return std::nullopt;
-    ForwardedRead read;
-    read.route = call.route;
-    read.workspace = call.workspace;
-    read.lastCommit = this->readRequirements(call).lastCommit;
-    read.values = this->values;
-    if (statement.kind == StatementKind::Execute)
-        read.preparedText = this->prepared.at(statement.name).argument;
-    read.statement = std::move(statement);
-    auto forwarded = co_await this->context->reads->forward(std::move(read), call.deadline, std::move(late));
-    if (!forwarded) {
-        this->keepsConnection = forwarded.error() == ForwardFailure::OwnRead;
-        this->operationMayHaveRun = this->operationMayHaveRun || forwarded.error() == ForwardFailure::ReplyLost;
+    bool wrote = this->writes(statement);
+    ForwardedCall described = this->describe(statement, call);
+    GatewaySession::Answer answer;
+    if (begins(statement))
+        answer = co_await this->gateway.begin(std::move(described), call.deadline);
+    else if (wrote)
+        answer = co_await this->gateway.write(std::move(described), wrote, call.deadline);
+    else
+        answer = co_await this->gateway.read(std::move(described), call.deadline, std::move(late));
+    if (!answer) {
+        bool lost = answer.error() == ForwardFailure::ReplyLost;
+        this->keepsConnection = answer.error() == ForwardFailure::OwnGateway;
+        this->operationMayHaveRun = lost;
+        this->operationMayHaveWritten = lost && wrote;
+        if (lost && wrote)
+            co_return this->refuse(StatementError::InDoubt, "no reply from the gateway; the write may have run");
         co_return std::nullopt;
     }
-    co_return this->takeReply(std::move(*forwarded));
+    TargetReply reply = this->takeOutcome(std::move(*answer), wrote, call);
+    if (this->gateway.inTransaction()) {
+        this->transaction = {};
+        this->transaction.state = TransactionState::Open;
+        this->transaction.readOnly = statement.kind == StatementKind::BeginRead;
+        this->transaction.service = call.route.pool;
+    }
+    co_return reply;
+}
+
+// Has the gateway that keeps the session's transaction run its next statement.
+asio::awaitable<TargetReply> SessionRunner::continueAtGateway(SessionStatement statement, StatementCall call)
+{
+    bool writes = this->writes(statement);
+    if (this->transaction.readOnly && writes)
+        co_return this->failTransaction(
+            StatementError::ReadOnly, "a write in a read-only transaction; the transaction was rolled back");
+    bool commits = statement.kind == StatementKind::Commit;
+    bool commitsWrites = commits && this->transaction.wrote;
+    bool wroteBefore = this->transaction.wrote;
+    this->operationMayHaveWritten = this->operationMayHaveWritten || writes || commitsWrites;
+    auto answer = co_await this->gateway.continueTransaction(this->describe(statement, call), writes, call.deadline);
+    if (!answer) {
+        bool lost = answer.error() == ForwardFailure::ReplyLost;
+        this->operationMayHaveRun = this->operationMayHaveRun || lost;
+        if (!commits)
+            co_return this->failTransaction(
+                StatementError::Aborted, "the transaction was rolled back: its gateway did not run the statement");
+        this->rollBack();
+        if (lost && commitsWrites)
+            co_return this->refuse(
+                StatementError::InDoubt, "no reply to the commit from the gateway; it may have taken effect");
+        co_return this->refuse(StatementError::Aborted, "the gateway did not commit; the transaction was rolled back");
+    }
+    TargetReply reply = this->takeOutcome(std::move(*answer), commitsWrites, call);
+    this->transaction.state = commits ? TransactionState::Idle : reply.state;
+    this->transaction.wrote = wroteBefore || (writes && !reply.error);
+    co_return reply;
+}
+
+// Takes over what a gateway reports. `committed`: a success is the commit of writes.
+TargetReply SessionRunner::takeOutcome(ForwardedOutcome outcome, bool committed, const StatementCall& call)
+{
+    this->operationMayHaveRun = this->operationMayHaveRun || outcome.mayHaveRun;
+    this->operationMayHaveWritten = this->operationMayHaveWritten || (committed && outcome.mayHaveRun);
+    this->memberId = outcome.result.member;
+    this->attempts = outcome.result.attempts;
+    if (committed && !outcome.result.reply.error) {
+        this->committedPositions[call.route.pool] = outcome.result.reply.position;
+        this->context->groups->recordAcknowledged(call.route.pool, outcome.result.reply.position);
+    }
+    return std::move(outcome.result.reply);
 }
 
 TargetReply SessionRunner::takeReply(ForwardedReply forwarded)
 {
     this->memberId = forwarded.member;
     this->attempts = forwarded.attempts;
-    // The gateway has run the read unless its reply rules that out.
-    const auto& error = forwarded.reply.error;
-    this->operationMayHaveRun = this->operationMayHaveRun || !error || !isNotRun(*error);
     return std::move(forwarded.reply);
 }
 
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -5,7 +5,9 @@
 #include "catkinlock/position.h"
 #include "catkinlock/tables.h"
 #include "catkinlock/target_message.h"
-#include "libsession/forwarded_read.h"
+#include "libsession/forwarded_call.h"
+#include "libsession/gateway_session.h"
+#include "libsession/operation_token.h"
 #include "libsession/session_context.h"
 #include "libsession/target_groups.h"
 #include <algorithm>
@@ -19,6 +21,9 @@
 
 struct LateReply;
 
+/// Workspace of a caller without a valid key, on an open route. It has no rate.
+inline constexpr const char* noWorkspace = "-";
+
 /// The context that one statement runs in: the route and workspace it was admitted for, and its deadline.
 struct StatementCall {
     Route route;
@@ -43,12 +48,14 @@
 public:
     explicit SessionRunner(std::shared_ptr<SessionContext>);
 
-    /// Runs a statement and returns its reply. If a member ran the statement successfully, the reply contains the
-    /// member's signature as proof. An error code says either that the statement had no effect or that its outcome is
-    /// unknown.
+    /// Runs a statement and returns its reply. The first statement of an operation takes a token of the workspace's
+    /// rate where the operation runs; it is refunded if nothing of the operation ran. If a member ran the statement
+    /// successfully, the reply contains the member's signature as proof. An error code says either that the statement
+    /// had no effect or that its outcome is unknown.
     boost::asio::awaitable<TargetReply> run(SessionStatement, StatementCall);
-    /// Takes over the session of a read that another instance has forwarded to this one, which then runs it itself.
-    void adopt(const ForwardedRead&);
+    /// Takes over the session of a statement that another instance has forwarded to this one, which then runs it
+    /// itself. `preparedWrites`: the statement executes a prepared one that writes.
+    void adopt(const ForwardedCall&, bool preparedWrites);
     /// Resets `lastMember` and `lastAttempts`. To be called before each statement.
     void beginStatement();
     /// Rolls back the open transaction in the background. The session's transaction is then in the state Failed.
@@ -76,8 +83,6 @@
     bool hasPrepared() const { return !this->prepared.empty(); }
     /// True if the operation that began last may have left something: a write or the commit of writes was sent.
     bool mayHaveWritten() const { return this->operationMayHaveWritten; }
-    /// Resets `mayHaveRun`. To be called before the first statement of an operation.
-    void beginOperation() { this->operationMayHaveRun = false; }
 
 private:
     // One attempt at running a statement on one member.
@@ -116,11 +121,17 @@
     std::string preparedNameFor(const SessionStatement&) const;
     ReadRequirements readRequirements(const StatementCall&) const;
 
-    boost::asio::awaitable<TargetReply> readOutsideTransaction(SessionStatement, StatementCall);
-    boost::asio::awaitable<TargetReply> read(SessionStatement, StatementCall);
-    boost::asio::awaitable<std::optional<TargetReply>> readThroughGateway(
+    std::optional<TargetReply> refuseByState(const SessionStatement&);
+    boost::asio::awaitable<TargetReply> startOperation(SessionStatement, StatementCall);
+    boost::asio::awaitable<std::optional<TargetReply>> admit(StatementCall);
+    boost::asio::awaitable<TargetReply> runHere(SessionStatement, StatementCall);
+    ForwardedCall describe(const SessionStatement&, const StatementCall&) const;
+    boost::asio::awaitable<std::optional<TargetReply>> startAtGateway(
         SessionStatement, StatementCall, std::shared_ptr<LateReply>);
+    boost::asio::awaitable<TargetReply> continueAtGateway(SessionStatement, StatementCall);
+    TargetReply takeOutcome(ForwardedOutcome, bool committed, const StatementCall&);
     TargetReply takeReply(ForwardedReply);
+    boost::asio::awaitable<TargetReply> readOutsideTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> writeOutsideTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> runInTransaction(SessionStatement, StatementCall);
     boost::asio::awaitable<TargetReply> commit(SessionStatement, StatementCall);
@@ -137,6 +148,8 @@
         std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, TimePoint deadline);
 
     std::shared_ptr<SessionContext> context;
+    GatewaySession gateway;
+    OperationToken operationToken;
     std::map<std::string, std::string> values;
     std::map<std::string, SessionStatement> prepared;
     // Position of the session's last commit, by service.
--- /dev/null
+++ b/src/libsession/statement_forwarder.cpp
@@ -0,0 +1,150 @@
+#include "libsession/statement_forwarder.h"
+
+#include "catkinlock/log.h"
+#include "catkinlock/peer_sender.h"
+#include "libsession/gateway_clocks.h"
+#include "peer.pb.h"
+#include <boost/asio.hpp>
+#include <random>
+
+namespace catkinlock {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // The gateway's deadline is earlier than the one here, so that its reply arrives in time.
+    constexpr Milliseconds replyMargin { 20 };
+
+    // A success that has to prove that a member ran the statement does so by the member's signature.
+    bool isProved(const ForwardedStatement& statement, const ForwardedOutcome& outcome)
+    {
+        return statement.sequence == 1 || outcome.result.reply.error || !outcome.result.reply.signature.empty();
+    }
+
+} // namespace
+
+struct StatementForwarder::Pending {
+    explicit Pending(const asio::any_io_executor& executor)
+        : ended(executor)
+    {
+    }
+    // Address of the gateway.
+    std::string address;
+    // The caller's id of the request.
+    std::string request;
+    TimePoint sentAt;
+    // Cancelled by the reply.
+    asio::steady_timer ended;
+    bool replied = false;
+    std::optional<ForwardedOutcome> outcome;
+};
+
+StatementForwarder::StatementForwarder(Parts parts)
+    : parts(std::move(parts))
+    , lastId(static_cast<std::uint64_t>(std::random_device {}()) << 32)
+{
+}
+
+tl::expected<StatementForwarder::Gateway, ForwardFailure> StatementForwarder::choose(
+    const std::string& workspace, const std::string& service, GatewayUse use) const
+{
+    auto view = this->parts.view->read();
+    std::string name = this->parts.gateways->choose(*view, workspace, service, use, Clock::now());
+    if (name == this->parts.instance)
+        return tl::unexpected(ForwardFailure::OwnGateway);
+    if (name.empty())
+        return tl::unexpected(ForwardFailure::NotRun);
+    return Gateway { name, view->instances.at(name).peerAddress };
+}
+
+asio::awaitable<tl::expected<ForwardedOutcome, ForwardFailure>> StatementForwarder::forward(
+    Gateway gateway, ForwardedStatement given, TimePoint deadline, TimePoint replyUntil)
+{
+    auto self = this->shared_from_this();
+    auto statement = std::make_shared<const ForwardedStatement>(std::move(given));
+    bool clockKnown = this->parts.clocks->at(gateway.address, Clock::now()).run != 0;
+    auto pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
+    // The refusal of a request that didn't name the gateway's run tells the run.
+    if (!clockKnown && pending->replied && !pending->outcome)
+        pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
+    if (pending->outcome && isProved(*statement, *pending->outcome)) {
+        this->parts.gateways->recordReply(gateway.name);
+        ++this->forwardedCount;
+        co_return std::move(*pending->outcome);
+    }
+    bool refused = pending->replied && !pending->outcome;
+    ++this->lostCount;
+    if (refused)
+        this->parts.gateways->recordUnavailable(gateway.name, Clock::now());
+    else
+        this->parts.gateways->recordLost(gateway.name, Clock::now());
+    writeLog(LogLevel::Info, "gateway_lost",
+        { { "request", statement->call.statement.id }, { "gateway", gateway.name },
+            { "replied", refused ? "yes" : "no" } });
+    co_return tl::unexpected(refused ? ForwardFailure::NotRun : ForwardFailure::ReplyLost);
+}
+
+asio::awaitable<std::shared_ptr<StatementForwarder::Pending>> StatementForwarder::exchange(
+    Gateway gateway, std::shared_ptr<const ForwardedStatement> statement, TimePoint deadline, TimePoint replyUntil)
+{
+    auto self = this->shared_from_this();
+    std::uint64_t id = ++this->lastId;
+    auto pending = std::make_shared<Pending>(this->parts.requests);
+    pending->address = gateway.address;
+    pending->request = statement->call.statement.id;
+    pending->sentAt = Clock::now();
+    this->pendingStatements[id] = pending;
+    this->send(gateway, *statement, id, deadline);
+    pending->ended.expires_after(std::max(Duration(0), replyUntil - pending->sentAt));
+    co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    this->pendingStatements.erase(id);
+    co_return pending;
+}
+
+void StatementForwarder::send(
+    const Gateway& gateway, const ForwardedStatement& statement, std::uint64_t id, TimePoint deadline)
+{
+    TimePoint now = Clock::now();
+    auto envelope = std::make_shared<wire::Envelope>();
+    wire::StatementRequest& request = *envelope->mutable_statement_request();
+    auto timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - now) - replyMargin;
+    writeStatement(statement, timeLeft, this->parts.clocks->at(gateway.address, now), request);
+    request.mutable_call()->set_id(id);
+    asio::post(this->parts.control,
+        [link = this->parts.link, address = gateway.address, envelope] { link->send(address, *envelope); });
+}
+
+void StatementForwarder::endTransaction(const Gateway& gateway, std::uint64_t transaction)
+{
+    auto envelope = std::make_shared<wire::Envelope>();
+    envelope->mutable_transaction_end()->set_transaction(transaction);
+    asio::post(this->parts.control,
+        [link = this->parts.link, address = gateway.address, envelope] { link->send(address, *envelope); });
+}
+
+void StatementForwarder::receiveReply(const std::string& sender, const wire::StatementReply& message)
+{
+    asio::post(
+        this->parts.requests, [self = this->shared_from_this(), sender, message] { self->complete(sender, message); });
+}
+
+void StatementForwarder::complete(const std::string& sender, const wire::StatementReply& message)
+{
+    const wire::ReadReply& result = message.result();
+    auto found = this->pendingStatements.find(result.id());
+    if (found == this->pendingStatements.end())
+        return;
+    Pending& pending = *found->second;
+    if (pending.request != result.request() || pending.address != sender) {
+        writeLog(LogLevel::Warning, "foreign_reply_ignored",
+            { { "sender", sender }, { "request", result.request() }, { "expected", pending.request } });
+        return;
+    }
+    this->parts.clocks->record(sender, { result.gateway_run(), Milliseconds(result.clock_ms()) }, pending.sentAt);
+    pending.replied = true;
+    pending.outcome = readStatementReply(message);
+    pending.ended.cancel();
+}
+
+} // namespace catkinlock
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -3,6 +3,7 @@
 #include "catkinlock/rendezvous.h"
 #include "libsession/gateway_choice.h"
 #include "libsession/target_link.h"
+#include <algorithm>
 #include <random>
 
 namespace catkinlock {
@@ -17,14 +18,18 @@
     constexpr Milliseconds positionAgeMargin { 50 };
     // Connections to each member that the pools leave free for promotions, which connect to the members separately.
     constexpr std::size_t reservedConnections = 4;
+    // Part of the other connections that the gateways of a service divide. Instances that run operations without a
+    // gateway use the rest.
+    constexpr double gatewayFraction = 0.8;
 
 } // namespace
 
 TargetGroups::TargetGroups(boost::asio::any_io_executor executor, std::shared_ptr<const TargetProtocol> protocol,
-    std::shared_ptr<ViewFreshness> freshness, std::string dataCentre)
+    std::shared_ptr<ViewFreshness> freshness, std::string instance, std::string dataCentre)
     : executor(std::move(executor))
     , protocol(std::move(protocol))
     , freshness(std::move(freshness))
+    , instance(std::move(instance))
     , dataCentre(std::move(dataCentre))
     , choiceSeed(std::random_device {}())
 {
@@ -49,20 +54,35 @@
         if (!pool)
             pool = std::make_shared<TargetPool>(this->executor, this->protocol, target);
         pool->setTarget(target);
-        auto service = view.tables->pools.find(target.service);
-        std::size_t maxConnections
-            = service == view.tables->pools.end() ? 1 : service->second.databases.front().connections;
-        pool->setShare((maxConnections - std::min(maxConnections, reservedConnections)) / instances);
     }
     this->gatewayServices.clear();
     for (const auto& [service, pool] : view.tables->pools) {
         if (needsGateways(pool.databases.front().connections, instances))
             this->gatewayServices.insert(service);
+        this->shareConnections(view, service, pool.databases.front().connections);
         if (auto primary = view.primaryOf(service))
             this->poolById[primary->id]->beginTerm(view.termOf(service), now);
     }
 }
 
+// Divides the connections that each member of a service accepts: among its gateways if it has them, else among all
+// instances.
+void TargetGroups::shareConnections(const FleetView& view, const std::string& service, std::size_t connections)
+{
+    std::size_t available = connections - std::min(connections, reservedConnections);
+    std::vector<std::string> gateways;
+    if (this->usesGateways(service))
+        gateways = gatewaysOf(view, service);
+    bool isGateway = std::count(gateways.begin(), gateways.end(), this->instance) != 0;
+    for (const std::string& id : view.targets.idsOf(service)) {
+        TargetPool& pool = *this->poolById[id];
+        if (isGateway)
+            pool.setGatewayShare(static_cast<std::size_t>(available * gatewayFraction) / gateways.size());
+        else
+            pool.setShare(gateways.empty() ? available / std::max<std::size_t>(view.instances.size(), 1) : 0);
+    }
+}
+
 std::shared_ptr<TargetPool> TargetGroups::poolOf(const std::string& id) const
 {
     auto found = this->poolById.find(id);
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -60,8 +60,9 @@
 /// the request thread.
 class TargetGroups {
 public:
+    /// `instance`, `dataCentre`: name and location of this instance.
     TargetGroups(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>, std::shared_ptr<ViewFreshness>,
-        std::string dataCentre);
+        std::string instance, std::string dataCentre);
 
     /// Creates, updates and closes pools to match the view, and starts the health of the primaries of new terms anew.
     /// Does nothing if the view was applied already.
@@ -101,11 +102,13 @@
     const std::map<std::string, std::shared_ptr<TargetPool>>& pools() const { return this->poolById; }
 
 private:
+    void shareConnections(const FleetView&, const std::string& service, std::size_t connections);
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
 
     boost::asio::any_io_executor executor;
     std::shared_ptr<const TargetProtocol> protocol;
     std::shared_ptr<ViewFreshness> freshness;
+    std::string instance;
     std::string dataCentre;
     // Makes the choice between equal members differ from other instances.
     std::uint64_t choiceSeed;
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -70,15 +70,24 @@
 void TargetPool::setShare(std::size_t connections)
 {
     this->share = std::max<std::size_t>(connections, 1);
+    this->maxOpen = this->share * maxShares;
     this->maxIdle = connections / 2;
     this->surplusLifetime = connections ? surplusIdleLifetime : scarceIdleLifetime;
 }
 
+void TargetPool::setGatewayShare(std::size_t connections)
+{
+    this->share = std::max<std::size_t>(connections, 1);
+    this->maxOpen = this->share;
+    this->maxIdle = this->share;
+    this->surplusLifetime = surplusIdleLifetime;
+}
+
 bool TargetPool::isConnectionLimited() const { return Clock::now() < this->connectionLimitedUntil; }
 
 std::size_t TargetPool::connectionLimit() const
 {
-    return this->isConnectionLimited() ? this->share : this->share * maxShares + this->keptCount();
+    return this->isConnectionLimited() ? this->share : this->maxOpen + this->keptCount();
 }
 
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -75,6 +75,9 @@
     /// while idle, and more for a short time only, because a member still counts the connections of instances that lost
     /// power, and the others need free connections meanwhile.
     void setShare(std::size_t connections);
+    /// The same for a gateway of the member's service. The gateways' shares add up to no more than the member accepts,
+    /// so that none opens more than its share or closes connections that may be used again.
+    void setGatewayShare(std::size_t connections);
     void setTarget(const TargetRecord&);
     /// The group's record names the member as the serving primary of `term`. Its health starts anew if it belonged to
     /// another term.
@@ -132,6 +135,8 @@
     TargetRecord record;
     // Connections that this instance may have open even while the member is at its limit.
     std::size_t share = 1;
+    // Connections that it may have open while the member accepts more.
+    std::size_t maxOpen = 1;
     // Idle connections beyond this count are closed early, after `surplusLifetime`.
     std::size_t maxIdle = 1;
     Milliseconds surplusLifetime { 0 };
