Wait for a gateway that says that a statement is running

BEGIN is answered at once and begins at the gateway with the first statement; session values are set in one round trip.

--- a/src/libsession/forwarded_call.cpp
+++ b/src/libsession/forwarded_call.cpp
@@ -64,10 +64,10 @@
     message.set_attempts(forwarded.attempts);
 }
 
-std::optional<ForwardedReply> readReply(const wire::ReadReply& message, bool isSigned)
+std::optional<ForwardedReply> readReply(const wire::ReadReply& message)
 {
-    bool hasProof = message.error() || !isSigned || !message.signature().empty();
-    bool valid = message.error() <= statementErrorCount && hasProof;
+    // A statement that succeeded has the signature of its member.
+    bool valid = message.error() <= statementErrorCount && (message.error() || !message.signature().empty());
     if (message.unavailable() || !valid)
         return std::nullopt;
     ForwardedReply forwarded;
--- a/src/libsession/forwarded_call.h
+++ b/src/libsession/forwarded_call.h
@@ -44,8 +44,7 @@
 /// The statement is taken for a read. std::nullopt if a field has a value that no instance sends.
 std::optional<ForwardedCall> readCall(const wire::ReadRequest&);
 void writeReply(const ForwardedReply&, wire::ReadReply&);
-/// std::nullopt if the gateway ran nothing, or if a field has a value that no instance sends. `isSigned`: a success has
-/// to have the signature of a member.
-std::optional<ForwardedReply> readReply(const wire::ReadReply&, bool isSigned);
+/// std::nullopt if the gateway ran nothing, or if a field has a value that no instance sends.
+std::optional<ForwardedReply> readReply(const wire::ReadReply&);
 
 } // namespace catkinlock
--- a/src/libsession/forwarded_statement.cpp
+++ b/src/libsession/forwarded_statement.cpp
@@ -10,8 +10,6 @@
     bool isForwardable(StatementKind kind)
     {
         switch (kind) {
-        case StatementKind::Begin:
-        case StatementKind::BeginRead:
         case StatementKind::Commit:
         case StatementKind::Read:
         case StatementKind::Write:
@@ -32,6 +30,7 @@
     request.set_transaction(statement.transaction);
     request.set_sequence(statement.sequence);
     request.set_prepared_writes(statement.preparedWrites);
+    request.set_read_only(statement.readOnly);
     request.set_gateway_run(sentAt.run);
     request.set_sent_at_ms(sentAt.clock.count());
 }
@@ -43,14 +42,13 @@
         return std::nullopt;
     auto kind = static_cast<StatementKind>(request.kind());
     bool executes = call->statement.kind == StatementKind::Execute;
-    bool begins = kind == StatementKind::Begin || kind == StatementKind::BeginRead;
     bool valid = isForwardable(kind) && executes == (kind == StatementKind::Execute)
-        && (request.transaction() != 0) == (request.sequence() != 0) && begins == (request.sequence() == 1);
+        && (request.transaction() != 0) == (request.sequence() != 0);
     if (!valid)
         return std::nullopt;
     call->statement.kind = kind;
-    return ForwardedStatement { std::move(*call), request.transaction(), request.sequence(),
-        request.prepared_writes() };
+    return ForwardedStatement { std::move(*call), request.transaction(), request.sequence(), request.prepared_writes(),
+        request.read_only() };
 }
 
 void writeStatementReply(const ForwardedOutcome& outcome, wire::StatementReply& reply)
@@ -62,8 +60,7 @@
 
 std::optional<ForwardedOutcome> readStatementReply(const wire::StatementReply& reply)
 {
-    // The start of a transaction succeeds without the signature of a member.
-    auto result = readReply(reply.result(), false);
+    auto result = readReply(reply.result());
     if (!result || reply.state() > static_cast<std::uint32_t>(TransactionState::Failed))
         return std::nullopt;
     result->reply.state = static_cast<TransactionState>(reply.state());
--- a/src/libsession/forwarded_statement.h
+++ b/src/libsession/forwarded_statement.h
@@ -13,15 +13,18 @@
 namespace catkinlock {
 
 /// A statement of an operation that a gateway runs for a session of another instance: a write outside a transaction,
-/// the start of a transaction, or a later statement of one.
+/// or a statement of a transaction.
 struct ForwardedStatement {
     ForwardedCall call;
     /// The sender's number of the transaction; 0 outside a transaction.
     std::uint64_t transaction = 0;
-    /// Place of the statement in the transaction, from 1; 0 outside a transaction.
+    /// Place of the statement in the transaction, from 1; 0 outside a transaction. The first one begins the
+    /// transaction.
     std::uint32_t sequence = 0;
     /// True if the statement executes a prepared one that writes.
     bool preparedWrites = false;
+    /// True if the transaction only reads.
+    bool readOnly = false;
 
     bool operator==(const ForwardedStatement&) const = default;
 };
--- a/src/libsession/gateway_session.cpp
+++ b/src/libsession/gateway_session.cpp
@@ -36,36 +36,33 @@
     auto gateway = this->context->statementForwarder->choose(call.workspace, call.route.pool, GatewayUse::Once);
     if (!gateway)
         co_return tl::unexpected(gateway.error());
-    ForwardedStatement statement { std::move(call), 0, 0, preparedWrites };
+    ForwardedStatement statement { std::move(call), 0, 0, preparedWrites, false };
     co_return co_await this->context->statementForwarder->forward(*gateway, std::move(statement), deadline, deadline);
 }
 
-asio::awaitable<GatewaySession::Answer> GatewaySession::begin(ForwardedCall call, TimePoint deadline)
+bool GatewaySession::openTransaction(const std::string& workspace, const std::string& service)
 {
     this->endTransaction();
-    auto gateway = this->context->statementForwarder->choose(call.workspace, call.route.pool, GatewayUse::Repeatable);
-    if (!gateway)
-        co_return tl::unexpected(gateway.error());
-    Transaction next { *gateway, this->context->statementForwarder->newTransaction(), 1 };
-    TimePoint replyUntil = Clock::now() + gatewayReplyTime(call.route, Clock::now(), deadline);
-    ForwardedStatement statement { std::move(call), next.number, next.sequence, false };
-    auto answer
-        = co_await this->context->statementForwarder->forward(*gateway, std::move(statement), deadline, replyUntil);
-    if (answer && answer->result.reply.state == TransactionState::Open)
-        this->transaction = next;
-    else if (!answer && answer.error() == ForwardFailure::ReplyLost)
-        this->context->statementForwarder->endTransaction(next.gateway, next.number);
-    co_return answer;
+    auto gateway = this->context->statementForwarder->choose(workspace, service, GatewayUse::Repeatable);
+    if (gateway)
+        this->transaction = { *gateway, this->context->statementForwarder->newTransaction(), 0 };
+    return gateway.has_value();
 }
 
 asio::awaitable<GatewaySession::Answer> GatewaySession::continueTransaction(
-    ForwardedCall call, bool preparedWrites, TimePoint deadline)
+    TransactionStatement given, TimePoint deadline)
 {
     Transaction& current = *this->transaction;
-    ForwardedStatement statement { std::move(call), current.number, ++current.sequence, preparedWrites };
+    TimePoint now = Clock::now();
+    // Leaves time to begin the transaction elsewhere.
+    TimePoint replyUntil = deadline;
+    if (!current.sequence)
+        replyUntil = now + gatewayReplyTime(given.call.route, now, deadline);
+    ForwardedStatement statement { std::move(given.call), current.number, ++current.sequence, given.preparedWrites,
+        given.readOnly };
     StatementForwarder::Gateway gateway = current.gateway;
     auto answer = co_await this->context->statementForwarder->forward(
-        std::move(gateway), std::move(statement), deadline, deadline);
+        std::move(gateway), std::move(statement), deadline, replyUntil);
     if (answer && answer->result.reply.state != TransactionState::Open)
         this->transaction.reset();
     if (!answer)
@@ -75,9 +72,8 @@
 
 void GatewaySession::endTransaction()
 {
-    if (!this->transaction)
-        return;
-    this->context->statementForwarder->endTransaction(this->transaction->gateway, this->transaction->number);
+    if (this->transaction && this->transaction->sequence)
+        this->context->statementForwarder->endTransaction(this->transaction->gateway, this->transaction->number);
     this->transaction.reset();
 }
 
--- a/src/libsession/read_forwarder.cpp
+++ b/src/libsession/read_forwarder.cpp
@@ -16,6 +16,8 @@
     // A gateway has this part of the latency objective to reply, and at least `minReplyTime`.
     constexpr double replyTimeFraction = 0.75;
     constexpr Milliseconds minReplyTime { 150 };
+    // The gateway's deadline is earlier than the one here, so that its reply arrives in time.
+    constexpr Milliseconds replyMargin { 20 };
 
 } // namespace
 
@@ -42,6 +44,8 @@
     TimePoint sentAt;
     TimePoint deadline;
     std::shared_ptr<LateReply> late;
+    // The gateway has told that the read is running, so that its reply is waited for.
+    bool running = false;
     bool givenUp = false;
     bool replied = false;
     std::optional<ForwardedReply> reply;
@@ -74,6 +78,10 @@
     pending->ended.expires_after(gatewayReplyTime(read.route, now, deadline));
     this->send(pending->gatewayAddress, read, id, deadline);
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (pending->running && !pending->replied) {
+        pending->ended.expires_after(deadline - Clock::now());
+        co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     pending->givenUp = !pending->replied;
     if (pending->reply) {
         this->parts.gateways->recordReply(gateway);
@@ -95,7 +103,7 @@
     auto envelope = std::make_shared<wire::Envelope>();
     wire::ReadRequest& request = *envelope->mutable_read_request();
     request.set_id(id);
-    writeCall(read, std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()), request);
+    writeCall(read, std::chrono::duration_cast<Milliseconds>(deadline - Clock::now()) - replyMargin, request);
     asio::post(this->parts.control,
         [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
 }
@@ -103,9 +111,9 @@
 void ReadForwarder::receiveReply(const std::string& sender, const wire::ReadReply& message)
 {
     ReplyOrigin origin { message.id(), sender, message.request(),
-        { message.gateway_run(), Milliseconds(message.clock_ms()) } };
+        { message.gateway_run(), Milliseconds(message.clock_ms()) }, message.running() };
     asio::post(this->parts.requests,
-        [self = this->shared_from_this(), origin, reply = readReply(message, true)] { self->complete(origin, reply); });
+        [self = this->shared_from_this(), origin, reply = readReply(message)] { self->complete(origin, reply); });
 }
 
 void ReadForwarder::complete(const ReplyOrigin& origin, std::optional<ForwardedReply> reply)
@@ -119,6 +127,11 @@
         return;
     }
     std::shared_ptr<Pending> pending = found->second;
+    if (origin.running) {
+        if (!std::exchange(pending->running, true))
+            pending->ended.cancel();
+        return;
+    }
     this->pendingReads.erase(found);
     this->parts.clocks->record(origin.sender, origin.repliedAt, pending->sentAt);
     if (pending->givenUp) {
--- a/src/libsession/read_forwarder.h
+++ b/src/libsession/read_forwarder.h
@@ -82,6 +82,8 @@
         std::string request;
         // When the gateway replied.
         GatewayTime repliedAt;
+        // The read is still running; its reply follows.
+        bool running = false;
     };
     void complete(const ReplyOrigin&, std::optional<ForwardedReply>);
     void dropExpired(TimePoint now);
--- a/src/libsession/read_service.cpp
+++ b/src/libsession/read_service.cpp
@@ -3,6 +3,8 @@
 #include "catkinlock/log.h"
 #include "catkinlock/peer_sender.h"
 #include "libsession/gateway_clocks.h"
+#include "libsession/progress_notice.h"
+#include "libsession/read_forwarder.h"
 #include "libsession/session_context.h"
 #include "libsession/session_runner.h"
 #include "libsession/spawn.h"
@@ -72,6 +74,8 @@
     SessionRunner runner(sessions);
     runner.adopt(read, false);
     ++this->running;
+    ProgressNotice notice(sessions->executor, gatewayReplyTime(read.route, call.arrivedAt, deadline) / 2,
+        [self, sender, id, request = read.statement.id] { self->reportRunning(sender, id, request); });
     ForwardedReply forwarded;
     forwarded.reply = co_await runner.run(read.statement, call);
     --this->running;
@@ -81,6 +85,16 @@
     this->reply(std::move(sender), envelope);
 }
 
+void ReadService::reportRunning(std::string address, std::uint64_t id, std::string request)
+{
+    auto envelope = std::make_shared<wire::Envelope>();
+    wire::ReadReply& message = *envelope->mutable_read_reply();
+    message.set_id(id);
+    message.set_request(std::move(request));
+    message.set_running(true);
+    this->reply(std::move(address), envelope);
+}
+
 void ReadService::reply(std::string address, std::shared_ptr<wire::Envelope> envelope)
 {
     envelope->mutable_read_reply()->set_clock_ms(toClockMs(Clock::now()));
--- a/src/libsession/read_service.h
+++ b/src/libsession/read_service.h
@@ -37,6 +37,7 @@
 private:
     boost::asio::awaitable<void> serve(std::string sender, std::uint64_t id, ForwardedCall, TimePoint deadline);
     bool isAvailable() const;
+    void reportRunning(std::string address, std::uint64_t id, std::string request);
     void reply(std::string address, std::shared_ptr<wire::Envelope>);
 
     Parts parts;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -337,12 +337,15 @@
 {
     if (this->adopted || !this->gateway.isUsedFor(call.route.pool))
         co_return std::nullopt;
+    if (begins(statement)) {
+        if (!this->gateway.openTransaction(call.workspace, call.route.pool))
+            co_return std::nullopt;
+        co_return this->runLocally(statement);
+    }
     bool wrote = this->writes(statement);
     ForwardedCall described = this->describe(statement, call);
     GatewaySession::Answer answer;
-    if (begins(statement))
-        answer = co_await this->gateway.begin(std::move(described), call.deadline);
-    else if (wrote)
+    if (wrote)
         answer = co_await this->gateway.write(std::move(described), wrote, call.deadline);
     else
         answer = co_await this->gateway.read(std::move(described), call.deadline, std::move(late));
@@ -355,17 +358,10 @@
             co_return this->refuse(StatementError::InDoubt, "no reply from the gateway; the write may have run");
         co_return std::nullopt;
     }
-    TargetReply reply = this->takeOutcome(std::move(*answer), wrote, call);
-    if (this->gateway.inTransaction()) {
-        this->transaction = {};
-        this->transaction.state = TransactionState::Open;
-        this->transaction.readOnly = statement.kind == StatementKind::BeginRead;
-        this->transaction.service = call.route.pool;
-    }
-    co_return reply;
+    co_return this->takeOutcome(std::move(*answer), wrote, call);
 }
 
-// Has the gateway that keeps the session's transaction run its next statement.
+// Has the gateway run the next statement of the session's transaction. One that did not begin there is begun here.
 asio::awaitable<TargetReply> SessionRunner::continueAtGateway(SessionStatement statement, StatementCall call)
 {
     bool writes = this->writes(statement);
@@ -374,27 +370,50 @@
             StatementError::ReadOnly, "a write in a read-only transaction; the transaction was rolled back");
     bool commits = statement.kind == StatementKind::Commit;
     bool commitsWrites = commits && this->transaction.wrote;
-    bool wroteBefore = this->transaction.wrote;
+    bool isFirst = this->gateway.isAtBeginning();
     this->operationMayHaveWritten = this->operationMayHaveWritten || writes || commitsWrites;
-    auto answer = co_await this->gateway.continueTransaction(this->describe(statement, call), writes, call.deadline);
-    if (!answer) {
-        bool lost = answer.error() == ForwardFailure::ReplyLost;
-        this->operationMayHaveRun = this->operationMayHaveRun || lost;
-        if (!commits)
-            co_return this->failTransaction(
-                StatementError::Aborted, "the transaction was rolled back: its gateway did not run the statement");
-        this->rollBack();
-        if (lost && commitsWrites)
-            co_return this->refuse(
-                StatementError::InDoubt, "no reply to the commit from the gateway; it may have taken effect");
-        co_return this->refuse(StatementError::Aborted, "the gateway did not commit; the transaction was rolled back");
-    }
+    GatewaySession::TransactionStatement next { this->describe(statement, call), writes, this->transaction.readOnly };
+    auto answer = co_await this->gateway.continueTransaction(std::move(next), call.deadline);
+    if (!answer && isFirst)
+        co_return co_await this->beginHere(std::move(statement), std::move(call));
+    if (!answer)
+        co_return this->failAtGateway(commits, answer.error());
     TargetReply reply = this->takeOutcome(std::move(*answer), commitsWrites, call);
-    this->transaction.state = commits ? TransactionState::Idle : reply.state;
-    this->transaction.wrote = wroteBefore || (writes && !reply.error);
+    if (commits)
+        reply.state = TransactionState::Idle;
+    else if (reply.state != TransactionState::Open)
+        reply.state = TransactionState::Failed;
+    this->transaction.state = reply.state;
+    this->transaction.wrote = this->transaction.wrote || (writes && !reply.error);
     co_return reply;
 }
 
+// Begins the transaction here, with its first statement, after its gateway did not. What a gateway may have run of it
+// is rolled back, since no commit was sent.
+asio::awaitable<TargetReply> SessionRunner::beginHere(SessionStatement statement, StatementCall call)
+{
+    auto refusal = co_await this->admit(call);
+    if (refusal)
+        co_return this->failTransaction(StatementError::Aborted, refusal->errorText);
+    co_return co_await this->runHere(std::move(statement), std::move(call));
+}
+
+// The reply to a statement of a transaction that its gateway did not run, or to which no reply arrived.
+TargetReply SessionRunner::failAtGateway(bool commits, ForwardFailure failure)
+{
+    bool lost = failure == ForwardFailure::ReplyLost;
+    bool wrote = this->transaction.wrote;
+    this->operationMayHaveRun = this->operationMayHaveRun || lost;
+    if (!commits)
+        return this->failTransaction(
+            StatementError::Aborted, "the transaction was rolled back: its gateway did not run the statement");
+    this->rollBack();
+    if (lost && wrote)
+        return this->refuse(
+            StatementError::InDoubt, "no reply to the commit from the gateway; it may have taken effect");
+    return this->refuse(StatementError::Aborted, "the gateway did not commit; the transaction was rolled back");
+}
+
 // Takes over what a gateway reports. `committed`: a success is the commit of writes.
 TargetReply SessionRunner::takeOutcome(ForwardedOutcome outcome, bool committed, const StatementCall& call)
 {
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -129,6 +129,8 @@
     boost::asio::awaitable<std::optional<TargetReply>> startAtGateway(
         SessionStatement, StatementCall, std::shared_ptr<LateReply>);
     boost::asio::awaitable<TargetReply> continueAtGateway(SessionStatement, StatementCall);
+    boost::asio::awaitable<TargetReply> beginHere(SessionStatement, StatementCall);
+    TargetReply failAtGateway(bool commits, ForwardFailure);
     TargetReply takeOutcome(ForwardedOutcome, bool committed, const StatementCall&);
     TargetReply takeReply(ForwardedReply);
     boost::asio::awaitable<TargetReply> readOutsideTransaction(SessionStatement, StatementCall);
--- a/src/libsession/statement_forwarder.cpp
+++ b/src/libsession/statement_forwarder.cpp
@@ -16,12 +16,6 @@
     // The gateway's deadline is earlier than the one here, so that its reply arrives in time.
     constexpr Milliseconds replyMargin { 20 };
 
-    // A success that has to prove that a member ran the statement does so by the member's signature.
-    bool isProved(const ForwardedStatement& statement, const ForwardedOutcome& outcome)
-    {
-        return statement.sequence == 1 || outcome.result.reply.error || !outcome.result.reply.signature.empty();
-    }
-
 } // namespace
 
 struct StatementForwarder::Pending {
@@ -36,6 +30,8 @@
     TimePoint sentAt;
     // Cancelled by the reply.
     asio::steady_timer ended;
+    // The gateway has told that the statement is running, so that its reply is waited for.
+    bool running = false;
     bool replied = false;
     std::optional<ForwardedOutcome> outcome;
 };
@@ -68,7 +64,7 @@
     // The refusal of a request that didn't name the gateway's run tells the run.
     if (!clockKnown && pending->replied && !pending->outcome)
         pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
-    if (pending->outcome && isProved(*statement, *pending->outcome)) {
+    if (pending->outcome) {
         this->parts.gateways->recordReply(gateway.name);
         ++this->forwardedCount;
         co_return std::move(*pending->outcome);
@@ -98,6 +94,10 @@
     this->send(gateway, *statement, id, deadline);
     pending->ended.expires_after(std::max(Duration(0), replyUntil - pending->sentAt));
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (pending->running && !pending->replied) {
+        pending->ended.expires_after(std::max(Duration(0), deadline - Clock::now()));
+        co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
     this->pendingStatements.erase(id);
     co_return pending;
 }
@@ -142,6 +142,11 @@
         return;
     }
     this->parts.clocks->record(sender, { result.gateway_run(), Milliseconds(result.clock_ms()) }, pending.sentAt);
+    if (result.running()) {
+        if (!std::exchange(pending.running, true))
+            pending.ended.cancel();
+        return;
+    }
     pending.replied = true;
     pending.outcome = readStatementReply(message);
     pending.ended.cancel();
--- a/src/libsession/statement_service.cpp
+++ b/src/libsession/statement_service.cpp
@@ -2,6 +2,8 @@
 
 #include "catkinlock/log.h"
 #include "catkinlock/peer_sender.h"
+#include "libsession/progress_notice.h"
+#include "libsession/read_forwarder.h"
 #include "libsession/session_context.h"
 #include "libsession/session_runner.h"
 #include "libsession/spawn.h"
@@ -29,6 +31,15 @@
     // Idle limit if the configuration has none.
     constexpr std::chrono::minutes defaultIdleLimit { 10 };
 
+    // The statement that begins the transaction of a first statement.
+    SessionStatement beginOf(const ForwardedStatement& first)
+    {
+        SessionStatement begin;
+        begin.id = first.call.statement.id;
+        begin.kind = first.readOnly ? StatementKind::BeginRead : StatementKind::Begin;
+        return begin;
+    }
+
 } // namespace
 
 struct StatementService::Transaction {
@@ -151,8 +162,13 @@
     call.isAllowed = [sessions] { return sessions->freshness->isFresh(Clock::now()); };
     runner.beginStatement();
     runner.adopt(forwarded, received.statement.preparedWrites);
+    ProgressNotice notice(sessions->executor, gatewayReplyTime(call.route, call.arrivedAt, received.deadline) / 2,
+        [self, received] { self->reportRunning(received); });
     ForwardedOutcome outcome;
-    outcome.result.reply = co_await runner.run(forwarded.statement, call);
+    if (received.statement.sequence == 1)
+        outcome.result.reply = co_await runner.run(beginOf(received.statement), call);
+    if (!outcome.result.reply.error)
+        outcome.result.reply = co_await runner.run(forwarded.statement, call);
     outcome.result.reply.state = runner.state();
     outcome.result.member = runner.lastMember();
     outcome.result.attempts = runner.lastAttempts();
@@ -210,6 +226,13 @@
     this->reply(received, envelope);
 }
 
+void StatementService::reportRunning(const Received& received)
+{
+    auto envelope = std::make_shared<wire::Envelope>();
+    envelope->mutable_statement_reply()->mutable_result()->set_running(true);
+    this->reply(received, envelope);
+}
+
 void StatementService::reply(const Received& received, std::shared_ptr<wire::Envelope> envelope)
 {
     wire::ReadReply& result = *envelope->mutable_statement_reply()->mutable_result();
--- a/src/libsession/statement_service.h
+++ b/src/libsession/statement_service.h
@@ -66,6 +66,7 @@
     std::shared_ptr<Transaction> transactionFor(const Received&, TimePoint now);
     boost::asio::awaitable<void> serve(Received, std::shared_ptr<Transaction>);
     void refuse(const Received&);
+    void reportRunning(const Received&);
     void reply(const Received&, std::shared_ptr<wire::Envelope>);
     void end(const TransactionKey&);
     void updateOpenCount();
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -83,13 +83,19 @@
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
 {
     auto self = this->shared_from_this();
-    LinkFailure failure;
     auto& stream = this->socket->stream;
     // The stream's timer runs on another clock.
     stream.expires_after(std::max(Duration(0), deadline - Clock::now()));
     auto [writeError, written] = co_await asio::async_write(stream, asio::buffer(bytes), asResult());
+    co_return co_await this->receive(writeError);
+}
+
+// Reads one reply, unless `error` says that the connection is broken.
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::receive(boost::system::error_code error)
+{
+    auto self = this->shared_from_this();
+    LinkFailure failure;
     failure.mayHaveBeenSent = true;
-    boost::system::error_code error = writeError;
     TargetReply reply;
     while (!error) {
         auto complete = this->protocol->take(this->received, reply);
@@ -104,8 +110,8 @@
         }
         std::size_t held = this->received.size();
         this->received.resize(held + readChunkBytes);
-        auto [readError, size]
-            = co_await stream.async_read_some(asio::buffer(this->received.data() + held, readChunkBytes), asResult());
+        auto [readError, size] = co_await this->socket->stream.async_read_some(
+            asio::buffer(this->received.data() + held, readChunkBytes), asResult());
         this->received.resize(held + size);
         error = readError;
     }
@@ -132,51 +138,73 @@
     return this->exchange(std::move(bytes), deadline);
 }
 
-asio::awaitable<bool> TargetLink::apply(TargetCommand command, TimePoint deadline)
+// Sends all commands at once, so that they take one round trip, and reads their replies. False if one of them failed;
+// the connection is then closed.
+asio::awaitable<bool> TargetLink::applyAll(std::vector<TargetCommand> commands, TimePoint deadline)
 {
-    auto reply = co_await this->command(std::move(command), std::nullopt, deadline);
-    if (reply && !reply->error)
-        co_return true;
-    this->close();
-    co_return false;
+    auto self = this->shared_from_this();
+    std::string bytes;
+    for (const TargetCommand& command : commands)
+        this->protocol->appendCommand(bytes, command, std::nullopt);
+    this->socket->stream.expires_after(std::max(Duration(0), deadline - Clock::now()));
+    auto [error, written] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
+    for (std::size_t i = 0; i < commands.size(); ++i) {
+        auto reply = co_await this->receive(error);
+        if (reply && !reply->error)
+            continue;
+        this->close();
+        co_return false;
+    }
+    co_return true;
 }
 
-asio::awaitable<bool> TargetLink::applySessionState(
-    std::map<std::string, std::string> required, std::string preparedName, std::string preparedText, TimePoint deadline)
+// The commands that set exactly these session values on the connection.
+std::vector<TargetCommand> TargetLink::commandsFor(const std::map<std::string, std::string>& required) const
 {
-    auto self = this->shared_from_this();
-    bool hasExtraValue = false;
-    for (const auto& [name, value] : this->values)
-        hasExtraValue = hasExtraValue || !required.count(name);
+    std::vector<TargetCommand> commands;
+    bool hasExtraValue = std::any_of(this->values.begin(), this->values.end(),
+        [&required](const auto& value) { return !required.count(value.first); });
     if (hasExtraValue) {
         TargetCommand reset;
         reset.kind = TargetCommand::Kind::Reset;
-        if (!co_await this->apply(reset, deadline))
-            co_return false;
-        this->values.clear();
-        this->preparedNames.clear();
+        commands.push_back(reset);
     }
-    for (const auto& item : required) {
-        auto held = this->values.find(item.first);
-        if (held != this->values.end() && held->second == item.second)
+    for (const auto& [name, value] : required) {
+        auto held = this->values.find(name);
+        if (!hasExtraValue && held != this->values.end() && held->second == value)
             continue;
         TargetCommand set;
         set.kind = TargetCommand::Kind::SetValue;
-        set.name = item.first;
-        set.argument = item.second;
-        if (!co_await this->apply(set, deadline))
-            co_return false;
-        this->values[item.first] = item.second;
+        set.name = name;
+        set.argument = value;
+        commands.push_back(set);
     }
-    if (!preparedName.empty() && !this->preparedNames.count(preparedName)) {
+    return commands;
+}
+
+asio::awaitable<bool> TargetLink::applySessionState(
+    std::map<std::string, std::string> required, std::string preparedName, std::string preparedText, TimePoint deadline)
+{
+    auto self = this->shared_from_this();
+    std::vector<TargetCommand> commands = this->commandsFor(required);
+    bool resets = !commands.empty() && commands.front().kind == TargetCommand::Kind::Reset;
+    bool prepares = !preparedName.empty() && (resets || !this->preparedNames.count(preparedName));
+    if (prepares) {
         TargetCommand prepare;
         prepare.kind = TargetCommand::Kind::Prepare;
         prepare.name = preparedName;
         prepare.argument = preparedText;
-        if (!co_await this->apply(prepare, deadline))
-            co_return false;
-        this->preparedNames.insert(preparedName);
+        commands.push_back(prepare);
     }
+    if (commands.empty())
+        co_return true;
+    if (!co_await this->applyAll(std::move(commands), deadline))
+        co_return false;
+    this->values = std::move(required);
+    if (resets)
+        this->preparedNames.clear();
+    if (prepares)
+        this->preparedNames.insert(preparedName);
     co_return true;
 }
 
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -5,12 +5,14 @@
 #include "catkinlock/target_record.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/system/error_code.hpp>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace catkinlock {
 
@@ -64,8 +66,9 @@
 private:
     struct Socket;
     boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, TimePoint deadline);
-    // Runs a command. False if it failed; the connection is then closed.
-    boost::asio::awaitable<bool> apply(TargetCommand, TimePoint deadline);
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> receive(boost::system::error_code);
+    boost::asio::awaitable<bool> applyAll(std::vector<TargetCommand>, TimePoint deadline);
+    std::vector<TargetCommand> commandsFor(const std::map<std::string, std::string>& required) const;
 
     std::shared_ptr<const TargetProtocol> protocol;
     std::unique_ptr<Socket> socket;
