Don't take a reply that can't be read for a refusal

A reply with an error or a state that this release doesn't know counted as "nothing was run", so that the instance ran the write a second time. It is now treated as lost.

--- a/src/libsession/statement_forwarder.cpp
+++ b/src/libsession/statement_forwarder.cpp
@@ -36,7 +36,8 @@
     TimePoint sentAt;
     // Cancelled by the reply.
     asio::steady_timer ended;
-    bool replied = false;
+    // The gateway did not run the statement.
+    bool refused = false;
     std::optional<ForwardedOutcome> outcome;
 };
 
@@ -66,14 +67,14 @@
     bool clockKnown = this->parts.clocks->at(gateway.address, Clock::now()).run != 0;
     auto pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
     // The refusal of a request that didn't name the gateway's run tells the run.
-    if (!clockKnown && pending->replied && !pending->outcome)
+    if (!clockKnown && pending->refused)
         pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
     if (pending->outcome && isProved(*statement, *pending->outcome)) {
         this->parts.gateways->recordReply(gateway.name);
         ++this->forwardedCount;
         co_return std::move(*pending->outcome);
     }
-    bool refused = pending->replied && !pending->outcome;
+    bool refused = pending->refused;
     ++this->lostCount;
     if (refused)
         this->parts.gateways->recordUnavailable(gateway.name, Clock::now());
@@ -142,7 +143,8 @@
         return;
     }
     this->parts.clocks->record(sender, { result.gateway_run(), Milliseconds(result.clock_ms()) }, pending.sentAt);
-    pending.replied = true;
+    // A reply that can't be read, of a later release perhaps, says nothing about whether the statement ran.
+    pending.refused = result.unavailable();
     pending.outcome = readStatementReply(message);
     pending.ended.cancel();
 }
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -387,6 +387,25 @@
     });
 }
 
+// Guards against a write that runs twice: an instance of a later release may reply with an error that this one doesn't
+// know, which says nothing about whether the write ran.
+TEST(StatementForwarder, AReplyThatCannotBeReadIsNoRefusal)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        fixture.network.receivers["a:1"] = [&](const wire::Envelope& envelope) {
+            wire::Envelope changed = envelope;
+            changed.mutable_statement_reply()->mutable_result()->set_error(statementErrorCount + 1);
+            fixture.front->receive(changed);
+        };
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.write(shortTime);
+        EXPECT_EQ(reply.error, StatementError::InDoubt);
+        EXPECT_EQ(fixture.committed(session.lastId), 1);
+    });
+}
+
 TEST(StatementForwarder, ATransactionRunsAtTheGateway)
 {
     GatewayFixture fixture;
