Bound the error of the estimate of a gateway's clock

A reply carried the gateway's time at its sending, so that the estimate contained the time for which a read ran, up to seconds. A late request was then accepted when it was older than 500 ms by as much, also after the gateway had forgotten that it ran it. A reply now carries the time at which its request was received, and exchanges of more than a second give no sample.

--- a/src/libsession/gateway_clocks.cpp
+++ b/src/libsession/gateway_clocks.cpp
@@ -21,9 +21,10 @@
     return sentAt.run == now.run && now.clock - sentAt.clock <= maxRequestAge;
 }
 
-void GatewayClocks::record(const std::string& address, const GatewayTime& time, TimePoint requestedAt)
+void GatewayClocks::record(
+    const std::string& address, const GatewayTime& time, TimePoint requestedAt, TimePoint repliedAt)
 {
-    if (!time.run)
+    if (!time.run || repliedAt - requestedAt > Duration(maxExchange))
         return;
     Sample next { time.run, time.clock - Milliseconds(toClockMs(requestedAt)), requestedAt };
     Sample& known = this->samples[address];
--- a/src/libsession/gateway_clocks.h
+++ b/src/libsession/gateway_clocks.h
@@ -26,13 +26,16 @@
 
 /// Estimates the clocks of gateways from their replies. Does no I/O.
 ///
-/// The estimate is never below the gateway's clock and above it by one round trip at most, so that a request may appear
-/// younger than it is, never older.
+/// The estimate is never below the gateway's clock, and above it by no more than a request was under way, so that a
+/// request may appear younger than it is, never older. Samples of exchanges that took longer than `maxExchange` are not
+/// used, which bounds how much younger.
 class GatewayClocks {
 public:
-    /// Records that the gateway at this address had the time `clock` after it had received a request that was sent at
-    /// `requestedAt`.
-    void record(const std::string& address, const GatewayTime&, TimePoint requestedAt);
+    static constexpr Milliseconds maxExchange { 1000 };
+
+    /// Records that the gateway at this address received a request at the given time by its clock. The request was sent
+    /// at `requestedAt`, and its reply arrived at `repliedAt`.
+    void record(const std::string& address, const GatewayTime&, TimePoint requestedAt, TimePoint repliedAt);
     /// The time at the gateway when it is `now` here; run 0 if no reply of it is known.
     GatewayTime at(const std::string& address, TimePoint now) const;
 
--- a/src/libsession/read_forwarder.cpp
+++ b/src/libsession/read_forwarder.cpp
@@ -120,7 +120,7 @@
     }
     std::shared_ptr<Pending> pending = found->second;
     this->pendingReads.erase(found);
-    this->parts.clocks->record(origin.sender, origin.repliedAt, pending->sentAt);
+    this->parts.clocks->record(origin.sender, origin.receivedAt, pending->sentAt, Clock::now());
     if (pending->givenUp) {
         pending->late->reply = std::move(reply);
         return;
--- a/src/libsession/read_forwarder.h
+++ b/src/libsession/read_forwarder.h
@@ -80,8 +80,8 @@
         std::string sender;
         // The caller's id of the request.
         std::string request;
-        // When the gateway replied.
-        GatewayTime repliedAt;
+        // When the gateway received the request.
+        GatewayTime receivedAt;
     };
     void complete(const ReplyOrigin&, std::optional<ForwardedReply>);
     void dropExpired(TimePoint now);
--- a/src/libsession/read_forwarder_test.cpp
+++ b/src/libsession/read_forwarder_test.cpp
@@ -249,15 +249,27 @@
     GatewayClocks clocks;
     EXPECT_EQ(clocks.at("g:1", start).run, 0u);
     // The gateway's clock is 5 s ahead; its reply was 3 ms under way in each direction.
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5003) }, start);
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5003) }, start, start + Milliseconds(6));
     GatewayTime estimate = clocks.at("g:1", start + Milliseconds(100));
     EXPECT_EQ(estimate, (GatewayTime { 7, Milliseconds(toClockMs(start) + 5103) }));
     // A faster round trip gives a better estimate, a slower one does not replace it.
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5201) }, start + Milliseconds(200));
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5390) }, start + Milliseconds(300));
+    clocks.record(
+        "g:1", { 7, Milliseconds(toClockMs(start) + 5201) }, start + Milliseconds(200), start + Milliseconds(202));
+    clocks.record(
+        "g:1", { 7, Milliseconds(toClockMs(start) + 5390) }, start + Milliseconds(300), start + Milliseconds(480));
     EXPECT_EQ(clocks.at("g:1", start).clock.count(), toClockMs(start) + 5001);
 }
 
+// Guards against a late request that is run, twice even if it is repeated after the gateway has forgotten it: the link
+// may be slow just when the clock is read.
+TEST(GatewayClocks, ASlowExchangeGivesNoSample)
+{
+    GatewayClocks clocks;
+    TimePoint repliedAt = start + GatewayClocks::maxExchange + Milliseconds(1);
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(repliedAt)) }, start, repliedAt);
+    EXPECT_EQ(clocks.at("g:1", repliedAt).run, 0u);
+}
+
 TEST(GatewayClocks, ALateRequestAndOneForAnEarlierRunAreRefused)
 {
     GatewayTime now { 7, Milliseconds(10000) };
@@ -267,8 +279,8 @@
     EXPECT_FALSE(isCurrent({ 6, Milliseconds(10000) }, now));
     EXPECT_FALSE(isCurrent({}, now));
     GatewayClocks clocks;
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start)) }, start);
-    clocks.record("g:1", { 8, Milliseconds(3) }, start + Milliseconds(5));
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(start)) }, start, start);
+    clocks.record("g:1", { 8, Milliseconds(3) }, start + Milliseconds(5), start + Milliseconds(6));
     EXPECT_EQ(clocks.at("g:1", start + Milliseconds(5)), (GatewayTime { 8, Milliseconds(3) }));
 }
 
--- a/src/libsession/read_service.cpp
+++ b/src/libsession/read_service.cpp
@@ -34,10 +34,11 @@
         writeLog(LogLevel::Warning, "read_request_rejected", { { "sender", sender } });
         return;
     }
-    TimePoint deadline = Clock::now() + Milliseconds(request.time_left_ms());
+    TimePoint receivedAt = Clock::now();
+    TimePoint deadline = receivedAt + Milliseconds(request.time_left_ms());
     spawn(this->parts.sessions->executor,
-        [self = this->shared_from_this(), sender, id = request.id(), read = std::move(*read), deadline] {
-            return self->serve(sender, id, read, deadline);
+        [self = this->shared_from_this(), sender, id = request.id(), read = std::move(*read), receivedAt, deadline] {
+            return self->serve(sender, id, read, receivedAt, deadline);
         });
 }
 
@@ -47,7 +48,8 @@
     return !sessions.drain && sessions.freshness->isFresh(Clock::now()) && this->running < maxRunning;
 }
 
-asio::awaitable<void> ReadService::serve(std::string sender, std::uint64_t id, ForwardedCall read, TimePoint deadline)
+asio::awaitable<void> ReadService::serve(
+    std::string sender, std::uint64_t id, ForwardedCall read, TimePoint receivedAt, TimePoint deadline)
 {
     auto self = this->shared_from_this();
     auto envelope = std::make_shared<wire::Envelope>();
@@ -55,6 +57,7 @@
     message.set_id(id);
     message.set_request(read.statement.id);
     message.set_gateway_run(this->parts.run);
+    message.set_clock_ms(toClockMs(receivedAt));
     if (!this->isAvailable()) {
         message.set_unavailable(true);
         this->reply(std::move(sender), envelope);
@@ -83,7 +86,6 @@
 
 void ReadService::reply(std::string address, std::shared_ptr<wire::Envelope> envelope)
 {
-    envelope->mutable_read_reply()->set_clock_ms(toClockMs(Clock::now()));
     asio::post(this->parts.control,
         [link = this->parts.link, address = std::move(address), envelope] { link->send(address, *envelope); });
 }
--- a/src/libsession/read_service.h
+++ b/src/libsession/read_service.h
@@ -35,7 +35,8 @@
     void receiveRequest(const std::string& sender, const wire::ReadRequest&);
 
 private:
-    boost::asio::awaitable<void> serve(std::string sender, std::uint64_t id, ForwardedCall, TimePoint deadline);
+    boost::asio::awaitable<void> serve(
+        std::string sender, std::uint64_t id, ForwardedCall, TimePoint receivedAt, TimePoint deadline);
     bool isAvailable() const;
     void reply(std::string address, std::shared_ptr<wire::Envelope>);
 
--- a/src/libsession/statement_forwarder.cpp
+++ b/src/libsession/statement_forwarder.cpp
@@ -142,7 +142,8 @@
             { { "sender", sender }, { "request", result.request() }, { "expected", pending.request } });
         return;
     }
-    this->parts.clocks->record(sender, { result.gateway_run(), Milliseconds(result.clock_ms()) }, pending.sentAt);
+    this->parts.clocks->record(
+        sender, { result.gateway_run(), Milliseconds(result.clock_ms()) }, pending.sentAt, Clock::now());
     // A reply that can't be read, of a later release perhaps, says nothing about whether the statement ran.
     pending.refused = result.unavailable();
     pending.outcome = readStatementReply(message);
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -371,6 +371,27 @@
     });
 }
 
+// Guards against a clock estimate that contains the time for which a read ran: a request that is later by as much would
+// be accepted.
+TEST(StatementForwarder, TheClockEstimateDoesNotContainTheTimeOfASlowRead)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        *fixture.front->clocks = GatewayClocks();
+        TestSession session = fixture.session();
+        session.objectiveMs = 4000;
+        constexpr Milliseconds readTime { 300 };
+        fixture.member->setResponseDelay(readTime);
+        TargetReply reply = co_await session.run(StatementKind::Read, "READ seat", ampleTime);
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        // Both instances have the same clock here.
+        GatewayTime estimate = fixture.front->clocks->at("b:1", Clock::now());
+        EXPECT_NE(estimate.run, 0u);
+        EXPECT_LT(estimate.clock.count(), toClockMs(Clock::now()) + readTime.count());
+    });
+}
+
 // Guards against a write that runs twice because the link delivers its request twice.
 TEST(StatementForwarder, AWriteThatTheLinkRepeatsRunsOnce)
 {
--- a/src/libsession/statement_service.cpp
+++ b/src/libsession/statement_service.cpp
@@ -57,9 +57,10 @@
         writeLog(LogLevel::Warning, "statement_request_rejected", { { "sender", sender } });
         return;
     }
+    TimePoint now = Clock::now();
     Received received { sender, request.call().id(), std::move(*statement),
-        { request.gateway_run(), Milliseconds(request.sent_at_ms()) },
-        Clock::now() + Milliseconds(request.call().time_left_ms()) };
+        { request.gateway_run(), Milliseconds(request.sent_at_ms()) }, now,
+        now + Milliseconds(request.call().time_left_ms()) };
     asio::post(this->parts.sessions->executor,
         [self = this->shared_from_this(), received = std::move(received)] { self->accept(received); });
 }
@@ -216,7 +217,7 @@
     result.set_id(received.id);
     result.set_request(received.statement.call.statement.id);
     result.set_gateway_run(this->parts.run);
-    result.set_clock_ms(toClockMs(Clock::now()));
+    result.set_clock_ms(toClockMs(received.receivedAt));
     asio::post(this->parts.control,
         [link = this->parts.link, address = received.sender, envelope] { link->send(address, *envelope); });
 }
--- a/src/libsession/statement_service.h
+++ b/src/libsession/statement_service.h
@@ -58,6 +58,7 @@
         std::uint64_t id = 0;
         ForwardedStatement statement;
         GatewayTime sentAt;
+        TimePoint receivedAt;
         TimePoint deadline;
     };
     void accept(Received);
