Report a statement that was not sent, or can't have run, as not run

A write to a gateway whose run isn't known got no reply from an instance of an earlier release or one that has ended, and was in doubt after its whole time, although gateways refuse requests that name no run. The same held for a message that the link dropped and for a statement without time. The instance now runs it itself, or refuses it.

--- a/src/libsession/statement_forwarder.cpp
+++ b/src/libsession/statement_forwarder.cpp
@@ -34,8 +34,12 @@
     // The caller's id of the request.
     std::string request;
     TimePoint sentAt;
+    // Run of the gateway that the request names; 0 if it names none. Gateways refuse such requests.
+    std::uint64_t run = 0;
     // Cancelled by the reply.
     asio::steady_timer ended;
+    // No part of the request was sent, or there was no time left to run the statement.
+    bool notSent = false;
     // The gateway did not run the statement.
     bool refused = false;
     std::optional<ForwardedOutcome> outcome;
@@ -64,26 +68,25 @@
 {
     auto self = this->shared_from_this();
     auto statement = std::make_shared<const ForwardedStatement>(std::move(given));
-    bool clockKnown = this->parts.clocks->at(gateway.address, Clock::now()).run != 0;
     auto pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
     // The refusal of a request that didn't name the gateway's run tells the run.
-    if (!clockKnown && pending->refused)
+    if (!pending->run && pending->refused)
         pending = co_await this->exchange(gateway, statement, deadline, replyUntil);
     if (pending->outcome && isProved(*statement, *pending->outcome)) {
         this->parts.gateways->recordReply(gateway.name);
         ++this->forwardedCount;
         co_return std::move(*pending->outcome);
     }
-    bool refused = pending->refused;
     ++this->lostCount;
-    if (refused)
+    if (pending->refused)
         this->parts.gateways->recordUnavailable(gateway.name, Clock::now());
-    else
+    else if (!pending->notSent)
         this->parts.gateways->recordLost(gateway.name, Clock::now());
     writeLog(LogLevel::Info, "gateway_lost",
         { { "request", statement->call.statement.id }, { "gateway", gateway.name },
-            { "replied", refused ? "yes" : "no" } });
-    co_return tl::unexpected(refused ? ForwardFailure::NotRun : ForwardFailure::ReplyLost);
+            { "replied", pending->refused ? "yes" : "no" }, { "sent", pending->notSent ? "no" : "yes" } });
+    bool notRun = pending->refused || pending->notSent || !pending->run;
+    co_return tl::unexpected(notRun ? ForwardFailure::NotRun : ForwardFailure::ReplyLost);
 }
 
 asio::awaitable<std::shared_ptr<StatementForwarder::Pending>> StatementForwarder::exchange(
@@ -95,25 +98,42 @@
     pending->address = gateway.address;
     pending->request = statement->call.statement.id;
     pending->sentAt = Clock::now();
+    GatewayTime gatewayTime = this->parts.clocks->at(gateway.address, pending->sentAt);
+    pending->run = gatewayTime.run;
+    auto timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - pending->sentAt) - replyMargin;
+    pending->notSent = timeLeft <= Milliseconds(0);
+    if (pending->notSent)
+        co_return pending;
     this->pendingStatements[id] = pending;
-    this->send(gateway, *statement, id, deadline);
+    auto envelope = std::make_shared<wire::Envelope>();
+    writeStatement(*statement, timeLeft, gatewayTime, *envelope->mutable_statement_request());
+    envelope->mutable_statement_request()->mutable_call()->set_id(id);
+    this->send(gateway.address, envelope, id);
+    // Without a reply to a request that names no run, there has to be time to run the statement elsewhere.
+    if (!pending->run)
+        replyUntil = pending->sentAt + gatewayReplyTime(statement->call.route, pending->sentAt, replyUntil);
     pending->ended.expires_after(std::max(Duration(0), replyUntil - pending->sentAt));
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     this->pendingStatements.erase(id);
     co_return pending;
 }
 
-void StatementForwarder::send(
-    const Gateway& gateway, const ForwardedStatement& statement, std::uint64_t id, TimePoint deadline)
+void StatementForwarder::send(std::string address, std::shared_ptr<wire::Envelope> envelope, std::uint64_t id)
 {
-    TimePoint now = Clock::now();
-    auto envelope = std::make_shared<wire::Envelope>();
-    wire::StatementRequest& request = *envelope->mutable_statement_request();
-    auto timeLeft = std::chrono::duration_cast<Milliseconds>(deadline - now) - replyMargin;
-    writeStatement(statement, timeLeft, this->parts.clocks->at(gateway.address, now), request);
-    request.mutable_call()->set_id(id);
-    asio::post(this->parts.control,
-        [link = this->parts.link, address = gateway.address, envelope] { link->send(address, *envelope); });
+    asio::post(this->parts.control, [self = this->shared_from_this(), address = std::move(address), envelope, id] {
+        if (self->parts.link->send(address, *envelope))
+            return;
+        asio::post(self->parts.requests, [self, id] { self->recordNotSent(id); });
+    });
+}
+
+void StatementForwarder::recordNotSent(std::uint64_t id)
+{
+    auto found = this->pendingStatements.find(id);
+    if (found == this->pendingStatements.end())
+        return;
+    found->second->notSent = true;
+    found->second->ended.cancel();
 }
 
 void StatementForwarder::endTransaction(const Gateway& gateway, std::uint64_t transaction)
--- a/src/libsession/statement_forwarder.h
+++ b/src/libsession/statement_forwarder.h
@@ -15,6 +15,10 @@
 #include <string>
 #include <tl/expected.hpp>
 
+namespace catkinlock::wire {
+class Envelope;
+}
+
 namespace catkinlock {
 
 class GatewayClocks;
@@ -68,7 +72,8 @@
 
     boost::asio::awaitable<std::shared_ptr<Pending>> exchange(
         Gateway, std::shared_ptr<const ForwardedStatement>, TimePoint deadline, TimePoint replyUntil);
-    void send(const Gateway&, const ForwardedStatement&, std::uint64_t id, TimePoint deadline);
+    void send(std::string address, std::shared_ptr<wire::Envelope>, std::uint64_t id);
+    void recordNotSent(std::uint64_t id);
     void complete(const std::string& sender, const wire::StatementReply&);
 
     Parts parts;
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -427,6 +427,47 @@
     });
 }
 
+// Guards against a write that is in doubt although no gateway can have run it: the first request names no run, and an
+// instance of an earlier release or one that has ended does not reply to it.
+TEST(StatementForwarder, AWriteWithoutAReplyToTheFirstContactRunsHere)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        fixture.network.receivers.erase("b:1");
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.write(Milliseconds(1000));
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        EXPECT_EQ(fixture.committed(session.lastId), 1);
+    });
+}
+
+// Guards against a write that waits for its deadline and is in doubt although its request was dropped before it left.
+TEST(StatementForwarder, AWriteThatTheLinkDoesNotTakeRunsHere)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        fixture.network.refuses = true;
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.write(Milliseconds(1000));
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        EXPECT_EQ(fixture.committed(session.lastId), 1);
+    });
+}
+
+// Guards against a write that is in doubt because it is sent to a gateway that has no time left to run it.
+TEST(StatementForwarder, AWriteWithoutTimeIsNotSent)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.write(Milliseconds(10));
+        EXPECT_NE(reply.error, StatementError::InDoubt);
+        EXPECT_EQ(fixture.network.sent[wire::Envelope::kStatementRequest], 0);
+    });
+}
+
 TEST(StatementForwarder, ATransactionRunsAtTheGateway)
 {
     GatewayFixture fixture;
