Refund tokens of operations that did not run after their gateway failed

The token that an instance takes for an operation that its gateway didn't serve was kept if the operation then didn't run either, and so was the gateway's if it refused the first statement of a transaction.

--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -120,6 +120,12 @@
     this->transaction.state = TransactionState::Idle;
 }
 
+void SessionRunner::refundUnrun(const std::string& workspace)
+{
+    if (this->operationToken.recordReply(true, this->operationMayHaveRun, TransactionState::Failed))
+        this->context->admission->refund(workspace);
+}
+
 void SessionRunner::close()
 {
     if (this->transaction.state != TransactionState::Idle)
@@ -349,7 +355,8 @@
     if (!answer) {
         bool lost = answer.error() == ForwardFailure::ReplyLost;
         this->keepsConnection = answer.error() == ForwardFailure::OwnGateway;
-        this->operationMayHaveRun = lost;
+        // The token of what may have run at the gateway was taken there.
+        this->operationMayHaveRun = lost && wrote;
         this->operationMayHaveWritten = lost && wrote;
         if (lost && wrote)
             co_return this->refuse(StatementError::InDoubt, "no reply from the gateway; the write may have run");
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -71,6 +71,9 @@
     /// Rolls back an open transaction in the background and releases its connection. The session's transaction is then
     /// in the state Failed. Does nothing outside a transaction.
     void close();
+    /// Returns the rate token of the workspace's operation if nothing of it ran. To be called between two statements,
+    /// when the operation ends with a refusal.
+    void refundUnrun(const std::string& workspace);
     /// Rolls back an open transaction in the background. The session is then in no transaction.
     void rollBack();
     /// Id of the member that the last statement was sent to, for logs; empty if there was none.
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -783,6 +783,62 @@
     });
 }
 
+// Guards against a token that is lost when a transaction is begun here because its gateway did not reply, and then does
+// not run.
+TEST(StatementTokens, TheTokenOfATransactionThatItsGatewayDidNotBeginIsRefunded)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        co_await addAdmission(fixture, *fixture.front);
+        removePrimary(fixture);
+        fixture.network.lose(wire::Envelope::kStatementReply);
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.begin();
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        EXPECT_EQ(fixture.front->lost(), 1u);
+        reply = co_await session.write();
+        EXPECT_EQ(reply.error, StatementError::Aborted);
+        for (std::uint32_t i = 0; i < testBurst; ++i) {
+            TestSession next = fixture.session();
+            reply = co_await next.begin();
+            EXPECT_FALSE(reply.error) << reply.errorText;
+        }
+        EXPECT_EQ(fixture.front->sessions->admission->refused(), 0u);
+    });
+}
+
+// Guards against a token that is lost when the gateway refuses the first statement after the start of a transaction.
+TEST(StatementTokens, TheTokenOfATransactionThatIsRefusedBeforeItRanIsRefunded)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        co_await addAdmission(fixture, *fixture.gateway);
+        TestSession session = fixture.session();
+        TargetReply reply = co_await session.begin();
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        fixture.network.receivers["b:1"] = [&](const wire::Envelope& envelope) {
+            wire::Envelope late = envelope;
+            wire::StatementRequest& request = *late.mutable_statement_request();
+            request.set_sent_at_ms(request.sent_at_ms() - lateness.count());
+            fixture.gateway->receive(late);
+        };
+        reply = co_await session.write();
+        EXPECT_EQ(reply.error, StatementError::Aborted);
+        fixture.network.receivers["b:1"] = [&](const wire::Envelope& envelope) { fixture.gateway->receive(envelope); };
+        // The gateway would be avoided for a moment after its refusal.
+        fixture.front->gateways->recordReply("b");
+        for (std::uint32_t i = 0; i < testBurst; ++i) {
+            TestSession next = fixture.session();
+            reply = co_await next.begin();
+            EXPECT_FALSE(reply.error) << reply.errorText;
+        }
+        EXPECT_EQ(fixture.gateway->sessions->admission->admitted(), 1u + testBurst);
+        EXPECT_EQ(fixture.gateway->sessions->admission->refused(), 0u);
+    });
+}
+
 namespace {
 
 // What a session was told of one operation.
--- a/src/libsession/statement_service.cpp
+++ b/src/libsession/statement_service.cpp
@@ -120,8 +120,7 @@
         return;
     auto transaction = this->transactionFor(received, now);
     if (!transaction) {
-        // Its instance takes the whole transaction for rolled back.
-        this->end({ received.sender, received.statement.transaction });
+        this->endRefused(received);
         return this->refuse(received);
     }
     transaction->sequence = received.statement.sequence;
@@ -183,6 +182,16 @@
     this->updateOpenCount();
 }
 
+// Rolls back the transaction of a statement that is refused, because its instance then takes it for rolled back.
+void StatementService::endRefused(const Received& received)
+{
+    TransactionKey key(received.sender, received.statement.transaction);
+    auto found = this->transactions.find(key);
+    if (found != this->transactions.end() && !found->second->running)
+        found->second->runner.refundUnrun(received.statement.call.workspace);
+    this->end(key);
+}
+
 void StatementService::endOverdue(TimePoint now)
 {
     auto view = this->parts.sessions->view->read();
--- a/src/libsession/statement_service.h
+++ b/src/libsession/statement_service.h
@@ -67,6 +67,7 @@
     std::shared_ptr<Transaction> transactionFor(const Received&, TimePoint now);
     boost::asio::awaitable<void> serve(Received, std::shared_ptr<Transaction>);
     void refuse(const Received&);
+    void endRefused(const Received&);
     void reply(const Received&, std::shared_ptr<wire::Envelope>);
     void end(const TransactionKey&);
     void updateOpenCount();
