Stay registered if operations of other instances are cut at the end

An instance that ended with statements of other instances under way unregistered, so that a replacement of their primary didn't wait for its lease. No test: it takes a statement that outlasts the drain time.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -677,8 +677,9 @@
             this->front->endSessions(now);
         });
     }
-    // An instance that cuts sessions may still have statements under way, so that others have to wait for it.
-    if (!this->sessions->sessions.load())
+    // An instance that cuts sessions or operations of other instances may still have statements under way, so that
+    // others have to wait for it.
+    if (!this->sessions->sessions.load() && !this->statementService->open())
         co_await this->registration->unregister();
     this->lifecycle.drained();
     writeLog(LogLevel::Info, "stopped", { { "sessions_cut", fmt::format("{}", this->sessions->sessions.load()) } });
