--- a/src/libsession/gateway_choice.cpp
+++ b/src/libsession/gateway_choice.cpp
@@ -71,6 +71,7 @@
     if (this->knownSerial != view.serial) {
         this->orders.clear();
         this->byService.clear();
+        std::erase_if(this->avoided, [&view](const auto& entry) { return !view.instances.count(entry.first); });
     }
     this->knownSerial = view.serial;
     auto [entry, added] = this->orders.try_emplace({ workspace, service });
--- a/src/libsession/gateway_clocks.cpp
+++ b/src/libsession/gateway_clocks.cpp
@@ -8,6 +8,9 @@
     constexpr Milliseconds maxRequestAge { 500 };
     // An older sample is replaced even by a less exact one, since clocks run at slightly different speeds.
     constexpr std::chrono::seconds sampleLifetime { 30 };
+    // More than the instances of a fleet. Addresses of instances that are gone are dropped, together with all others,
+    // once there are as many.
+    constexpr std::size_t maxSamples = 4096;
 
 } // namespace
 
@@ -27,6 +30,8 @@
     if (!time.run || repliedAt - requestedAt > Duration(maxExchange))
         return;
     Sample next { time.run, time.clock - Milliseconds(toClockMs(requestedAt)), requestedAt };
+    if (this->samples.size() >= maxSamples && !this->samples.count(address))
+        this->samples.clear();
     Sample& known = this->samples[address];
     bool isBetter = next.run != known.run || next.offset < known.offset
         || next.takenAt - known.takenAt > Duration(sampleLifetime);
--- a/src/libsession/read_forwarder_test.cpp
+++ b/src/libsession/read_forwarder_test.cpp
@@ -244,6 +244,35 @@
     EXPECT_EQ(gateways.choose(view, "tours", "orders", GatewayUse::Once, start + Milliseconds(300)), gateway);
 }
 
+// Guards against memory that grows with each instance that was ever a gateway, and against one that is avoided for the
+// silence of an earlier instance of its name.
+TEST(GatewayChoice, AGatewayThatTheViewDroppedIsForgotten)
+{
+    FleetView view = fleetOf(30);
+    GatewayChoice gateways;
+    std::string gateway = chooseFor(gateways, view, "tours", "orders", start);
+    gateways.recordLost(gateway, start);
+    FleetView without = view;
+    without.instances.erase(gateway);
+    without.serial = 1;
+    EXPECT_NE(gateways.choose(without, "tours", "orders", GatewayUse::Once, start), gateway);
+    view.serial = 2;
+    EXPECT_EQ(gateways.choose(view, "tours", "orders", GatewayUse::Once, start), gateway);
+}
+
+// Guards against memory that grows with each address that instances ever had.
+TEST(GatewayClocks, AddressesOfThePastAreDropped)
+{
+    GatewayClocks clocks;
+    for (int i = 0; i < 10000; ++i)
+        clocks.record("g:" + std::to_string(i), { 7, Milliseconds(toClockMs(start)) }, start, start);
+    int known = 0;
+    for (int i = 0; i < 10000; ++i)
+        known += clocks.at("g:" + std::to_string(i), start).run != 0;
+    EXPECT_LE(known, 4096);
+    EXPECT_EQ(clocks.at("g:9999", start).run, 7u);
+}
+
 TEST(GatewayClocks, TheEstimateIsNeverBelowTheGatewaysClock)
 {
     GatewayClocks clocks;
