Test operations through gateways with real instances

Values, prepared statements, transactions, a rollback and an idle transaction through a gateway, and a gateway that is killed or stopped in the middle of a transaction.

--- a/testsuite/sessions/sessions.cpp
+++ b/testsuite/sessions/sessions.cpp
@@ -6,6 +6,7 @@
 #include "standin/kv_service.h"
 #include "standin/line_caller.h"
 #include "standin/line_member.h"
+#include <algorithm>
 #include <atomic>
 #include <boost/asio.hpp>
 #include <csignal>
@@ -50,7 +51,7 @@
     asio::io_context context { 1 };
 
 public:
-    explicit TestFleet(int maxConnections = manyConnections)
+    explicit TestFleet(int maxConnections = manyConnections, int drainSeconds = 2)
     {
         this->store = std::make_shared<KvService>(this->context, [this](const std::string& id) { this->promote(id); });
         std::string storeAddress = this->store->start();
@@ -68,6 +69,7 @@
             this->context.run();
         });
         this->fronts = std::make_unique<FrontFleet>(CATKINLOCK_BINARY, storeAddress, testing::TempDir());
+        this->fronts->setDrainSeconds(drainSeconds);
         for (int i = 0; i < 2; ++i) {
             EXPECT_TRUE(this->fronts->add());
             this->callerAddresses.push_back(this->fronts->callerAddress(static_cast<std::size_t>(i)));
@@ -298,6 +300,162 @@
     }
 }
 
+namespace {
+
+// How often the group has committed the write with this id.
+std::size_t countCommitted(TestFleet& fleet, const std::string& id)
+{
+    auto ids = fleet.committed();
+    return static_cast<std::size_t>(std::count(ids.begin(), ids.end(), id));
+}
+
+// Begins a transaction and runs a write in it, again for as long as there is no capacity for it. Returns the response
+// to the write, whose id is the caller's last one.
+std::string openTransaction(LineCaller& caller)
+{
+    std::string response;
+    for (int i = 0; i < maxWaitAttempts && response.find("DONE s") == std::string::npos; ++i) {
+        if (i)
+            std::this_thread::sleep_for(waitInterval);
+        runUntilNotBusy(caller, "BEGIN");
+        response = caller.run("WRITE seat kept");
+        if (response.find("READY E") != std::string::npos)
+            caller.run("ROLLBACK");
+    }
+    return response;
+}
+
+} // namespace
+
+// Guards against operations that run at their gateway without the values, prepared statements or transaction of their
+// session. One of the two instances is the gateway of the workspace, so that one caller's operations are forwarded.
+TEST(GatewayOperations, AreThoseOfTheirSession)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    for (std::size_t i = 0; i < fleet.fronts->size(); ++i) {
+        LineCaller caller(fleet.callerAddresses[i], "read_your_writes-db", "key-1");
+        caller.run(fmt::format("SET tag -{}", i));
+        caller.run("PREPARE s1 WRITE q1");
+        EXPECT_NE(runUntilNotBusy(caller, fmt::format("WRITE seat first{}", i)).find("DONE s"), std::string::npos);
+        EXPECT_EQ(countCommitted(fleet, caller.lastId()), 1u);
+        std::string row = fmt::format("ROW first{0}-{0}\r\n", i);
+        EXPECT_NE(runUntilNotBusy(caller, "READ seat").find(row), std::string::npos);
+        EXPECT_NE(runUntilNotBusy(caller, "BEGIN").find("READY T"), std::string::npos);
+        std::string response = caller.run(fmt::format("EXECUTE s1 seat second{}", i));
+        EXPECT_NE(response.find("DONE s"), std::string::npos) << response;
+        EXPECT_NE(response.find("READY T"), std::string::npos) << response;
+        std::string writeId = caller.lastId();
+        EXPECT_NE(caller.run("READ seat").find(row), std::string::npos);
+        EXPECT_EQ(countCommitted(fleet, writeId), 0u);
+        EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos);
+        EXPECT_EQ(countCommitted(fleet, writeId), 1u);
+        row = fmt::format("ROW second{0}-{0}\r\n", i);
+        EXPECT_NE(runUntilNotBusy(caller, "READ seat").find(row), std::string::npos);
+    }
+}
+
+// Guards against a transaction that its gateway keeps, with its connection, after its session has rolled it back or
+// has left it idle for too long. The gateway has only one connection.
+TEST(GatewayOperations, ATransactionThatIsRolledBackOrIdleGivesItsConnectionBack)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    for (const std::string& address : fleet.callerAddresses) {
+        LineCaller caller(address, "primary-db", "key-1");
+        LineCaller other(address, "primary-db", "key-1");
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        std::string rolledBack = caller.lastId();
+        EXPECT_NE(caller.run("ROLLBACK").find("READY I"), std::string::npos);
+        EXPECT_NE(runUntilNotBusy(other, "WRITE seat x").find("DONE s"), std::string::npos);
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        std::string idle = caller.lastId();
+        // The configuration ends transactions that are idle for 3 s.
+        EXPECT_NE(runUntilNotBusy(other, "WRITE seat y").find("DONE s"), std::string::npos);
+        std::this_thread::sleep_for(std::chrono::seconds(4));
+        EXPECT_NE(caller.run("WRITE seat z").find("ERR ABORTED"), std::string::npos);
+        EXPECT_NE(caller.run("ROLLBACK").find("READY I"), std::string::npos);
+        EXPECT_EQ(countCommitted(fleet, rolledBack), 0u);
+        EXPECT_EQ(countCommitted(fleet, idle), 0u);
+    }
+}
+
+// Guards against statements that run outside their transaction, or a commit of a part of it, after its gateway has
+// ended, and against sessions that can't go on then.
+TEST(GatewayOperations, ATransactionIsAbortedOnceItsGatewayIsKilled)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    int aborted = 0;
+    for (std::size_t killed = 0; killed < fleet.fronts->size(); ++killed) {
+        LineCaller caller(fleet.callerAddresses[1 - killed], "primary-db", "key-1");
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        std::string writeId = caller.lastId();
+        fleet.fronts->process(killed).kill();
+        bool isAborted = caller.run("WRITE seat more").find("ERR ABORTED") != std::string::npos;
+        aborted += isAborted;
+        EXPECT_EQ(caller.run("COMMIT").find("ERR ABORTED") != std::string::npos, isAborted);
+        EXPECT_EQ(countCommitted(fleet, writeId), isAborted ? 0u : 1u);
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        writeId = caller.lastId();
+        EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos);
+        EXPECT_EQ(countCommitted(fleet, writeId), 1u);
+        ASSERT_TRUE(fleet.fronts->restart(killed));
+        ASSERT_TRUE(fleet.awaitRegistrations());
+    }
+    // One of the two instances is the gateway.
+    EXPECT_EQ(aborted, 1);
+}
+
+// Guards against a planned stop of a gateway that ends the transactions of other instances before they had their time.
+TEST(GatewayOperations, ATransactionIsFinishedWhileItsGatewayLeaves)
+{
+    // Transactions have half of this time.
+    TestFleet fleet(fewConnections, 8);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    for (std::size_t leaving = 0; leaving < fleet.fronts->size(); ++leaving) {
+        LineCaller caller(fleet.callerAddresses[1 - leaving], "primary-db", "key-1");
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        std::string writeId = caller.lastId();
+        fleet.fronts->process(leaving).sendSignal(SIGTERM);
+        ASSERT_FALSE(fleet.fronts->process(leaving).awaitJsonLine("sessions").empty());
+        std::string response = caller.run("WRITE seat more");
+        EXPECT_NE(response.find("DONE s"), std::string::npos) << response;
+        response = caller.run("COMMIT");
+        EXPECT_NE(response.find("DONE s"), std::string::npos) << response;
+        EXPECT_EQ(countCommitted(fleet, writeId), 1u);
+        // A new operation does not wait for the gateway that leaves.
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos);
+        EXPECT_EQ(fleet.fronts->process(leaving).awaitExit(20), 0);
+        ASSERT_TRUE(fleet.fronts->restart(leaving));
+        ASSERT_TRUE(fleet.awaitRegistrations());
+    }
+}
+
+// Guards against a gateway that can't end because another instance's session leaves its transaction open.
+TEST(GatewayOperations, AGatewayThatLeavesEndsTransactionsThatStayOpen)
+{
+    TestFleet fleet(fewConnections);
+    ASSERT_TRUE(fleet.awaitRegistrations());
+    int aborted = 0;
+    for (std::size_t leaving = 0; leaving < fleet.fronts->size(); ++leaving) {
+        LineCaller caller(fleet.callerAddresses[1 - leaving], "primary-db", "key-1");
+        EXPECT_NE(openTransaction(caller).find("READY T"), std::string::npos);
+        std::string writeId = caller.lastId();
+        fleet.fronts->process(leaving).sendSignal(SIGTERM);
+        EXPECT_EQ(fleet.fronts->process(leaving).awaitExit(20), 0);
+        bool isAborted = caller.run("WRITE seat more").find("ERR ABORTED") != std::string::npos;
+        aborted += isAborted;
+        EXPECT_EQ(caller.run("COMMIT").find("ERR ABORTED") != std::string::npos, isAborted);
+        EXPECT_EQ(countCommitted(fleet, writeId), isAborted ? 0u : 1u);
+        ASSERT_TRUE(fleet.fronts->restart(leaving));
+        ASSERT_TRUE(fleet.awaitRegistrations());
+    }
+    // The other caller's transaction runs at its own instance, and would be idle for too long after 3 s.
+    EXPECT_GE(aborted, 1);
+}
+
 TEST(Sessions, AWithdrawnKeyStopsAnOpenSession)
 {
     TestFleet fleet;
