--- a/src/libsession/gateway_clocks.cpp
+++ b/src/libsession/gateway_clocks.cpp
@@ -8,6 +8,9 @@
     constexpr Milliseconds maxRequestAge { 500 };
     // An older sample is replaced even by a less exact one, since clocks run at slightly different speeds.
     constexpr std::chrono::seconds sampleLifetime { 30 };
+    // More than the instances of a fleet. Addresses of instances that are gone are dropped, together with all others,
+    // once there are as many.
+    constexpr std::size_t maxSamples = 4096;
 
 } // namespace
 
@@ -21,11 +24,14 @@
     return sentAt.run == now.run && now.clock - sentAt.clock <= maxRequestAge;
 }
 
-void GatewayClocks::record(const std::string& address, const GatewayTime& time, TimePoint requestedAt)
+void GatewayClocks::record(
+    const std::string& address, const GatewayTime& time, TimePoint requestedAt, TimePoint repliedAt)
 {
-    if (!time.run)
+    if (!time.run || repliedAt - requestedAt > Duration(maxExchange))
         return;
     Sample next { time.run, time.clock - Milliseconds(toClockMs(requestedAt)), requestedAt };
+    if (this->samples.size() >= maxSamples && !this->samples.count(address))
+        this->samples.clear();
     Sample& known = this->samples[address];
     bool isBetter = next.run != known.run || next.offset < known.offset
         || next.takenAt - known.takenAt > Duration(sampleLifetime);
--- a/src/libsession/read_forwarder_test.cpp
+++ b/src/libsession/read_forwarder_test.cpp
@@ -244,20 +244,61 @@
     EXPECT_EQ(gateways.choose(view, "tours", "orders", GatewayUse::Once, start + Milliseconds(300)), gateway);
 }
 
+// Guards against memory that grows with each instance that was ever a gateway, and against one that is avoided for the
+// silence of an earlier instance of its name.
+TEST(GatewayChoice, AGatewayThatTheViewDroppedIsForgotten)
+{
+    FleetView view = fleetOf(30);
+    GatewayChoice gateways;
+    std::string gateway = chooseFor(gateways, view, "tours", "orders", start);
+    gateways.recordLost(gateway, start);
+    FleetView without = view;
+    without.instances.erase(gateway);
+    without.serial = 1;
+    EXPECT_NE(gateways.choose(without, "tours", "orders", GatewayUse::Once, start), gateway);
+    view.serial = 2;
+    EXPECT_EQ(gateways.choose(view, "tours", "orders", GatewayUse::Once, start), gateway);
+}
+
+// Guards against memory that grows with each address that instances ever had.
+TEST(GatewayClocks, AddressesOfThePastAreDropped)
+{
+    GatewayClocks clocks;
+    for (int i = 0; i < 10000; ++i)
+        clocks.record("g:" + std::to_string(i), { 7, Milliseconds(toClockMs(start)) }, start, start);
+    int known = 0;
+    for (int i = 0; i < 10000; ++i)
+        known += clocks.at("g:" + std::to_string(i), start).run != 0;
+    EXPECT_LE(known, 4096);
+    EXPECT_EQ(clocks.at("g:9999", start).run, 7u);
+}
+
 TEST(GatewayClocks, TheEstimateIsNeverBelowTheGatewaysClock)
 {
     GatewayClocks clocks;
     EXPECT_EQ(clocks.at("g:1", start).run, 0u);
     // The gateway's clock is 5 s ahead; its reply was 3 ms under way in each direction.
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5003) }, start);
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5003) }, start, start + Milliseconds(6));
     GatewayTime estimate = clocks.at("g:1", start + Milliseconds(100));
     EXPECT_EQ(estimate, (GatewayTime { 7, Milliseconds(toClockMs(start) + 5103) }));
     // A faster round trip gives a better estimate, a slower one does not replace it.
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5201) }, start + Milliseconds(200));
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start) + 5390) }, start + Milliseconds(300));
+    clocks.record(
+        "g:1", { 7, Milliseconds(toClockMs(start) + 5201) }, start + Milliseconds(200), start + Milliseconds(202));
+    clocks.record(
+        "g:1", { 7, Milliseconds(toClockMs(start) + 5390) }, start + Milliseconds(300), start + Milliseconds(480));
     EXPECT_EQ(clocks.at("g:1", start).clock.count(), toClockMs(start) + 5001);
 }
 
+// Guards against a late request that is run, twice even if it is repeated after the gateway has forgotten it: the link
+// may be slow just when the clock is read.
+TEST(GatewayClocks, ASlowExchangeGivesNoSample)
+{
+    GatewayClocks clocks;
+    TimePoint repliedAt = start + GatewayClocks::maxExchange + Milliseconds(1);
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(repliedAt)) }, start, repliedAt);
+    EXPECT_EQ(clocks.at("g:1", repliedAt).run, 0u);
+}
+
 TEST(GatewayClocks, ALateRequestAndOneForAnEarlierRunAreRefused)
 {
     GatewayTime now { 7, Milliseconds(10000) };
@@ -267,8 +308,8 @@
     EXPECT_FALSE(isCurrent({ 6, Milliseconds(10000) }, now));
     EXPECT_FALSE(isCurrent({}, now));
     GatewayClocks clocks;
-    clocks.record("g:1", { 7, Milliseconds(toClockMs(start)) }, start);
-    clocks.record("g:1", { 8, Milliseconds(3) }, start + Milliseconds(5));
+    clocks.record("g:1", { 7, Milliseconds(toClockMs(start)) }, start, start);
+    clocks.record("g:1", { 8, Milliseconds(3) }, start + Milliseconds(5), start + Milliseconds(6));
     EXPECT_EQ(clocks.at("g:1", start + Milliseconds(5)), (GatewayTime { 8, Milliseconds(3) }));
 }
 
--- a/src/libsession/statement_service.cpp
+++ b/src/libsession/statement_service.cpp
@@ -68,9 +68,10 @@
         writeLog(LogLevel::Warning, "statement_request_rejected", { { "sender", sender } });
         return;
     }
+    TimePoint now = Clock::now();
     Received received { sender, request.call().id(), std::move(*statement),
-        { request.gateway_run(), Milliseconds(request.sent_at_ms()) },
-        Clock::now() + Milliseconds(request.call().time_left_ms()) };
+        { request.gateway_run(), Milliseconds(request.sent_at_ms()) }, now,
+        now + Milliseconds(request.call().time_left_ms()) };
     asio::post(this->parts.sessions->executor,
         [self = this->shared_from_this(), received = std::move(received)] { self->accept(received); });
 }
@@ -130,8 +131,7 @@
         return;
     auto transaction = this->transactionFor(received, now);
     if (!transaction) {
-        // Its instance takes the whole transaction for rolled back.
-        this->end({ received.sender, received.statement.transaction });
+        this->endRefused(received);
         return this->refuse(received);
     }
     transaction->sequence = received.statement.sequence;
@@ -198,6 +198,16 @@
     this->updateOpenCount();
 }
 
+// Rolls back the transaction of a statement that is refused, because its instance then takes it for rolled back.
+void StatementService::endRefused(const Received& received)
+{
+    TransactionKey key(received.sender, received.statement.transaction);
+    auto found = this->transactions.find(key);
+    if (found != this->transactions.end() && !found->second->running)
+        found->second->runner.refundUnrun(received.statement.call.workspace);
+    this->end(key);
+}
+
 void StatementService::endOverdue(TimePoint now)
 {
     auto view = this->parts.sessions->view->read();
@@ -239,7 +249,7 @@
     result.set_id(received.id);
     result.set_request(received.statement.call.statement.id);
     result.set_gateway_run(this->parts.run);
-    result.set_clock_ms(toClockMs(Clock::now()));
+    result.set_clock_ms(toClockMs(received.receivedAt));
     asio::post(this->parts.control,
         [link = this->parts.link, address = received.sender, envelope] { link->send(address, *envelope); });
 }
--- a/src/libsession/statement_service.h
+++ b/src/libsession/statement_service.h
@@ -58,6 +58,7 @@
         std::uint64_t id = 0;
         ForwardedStatement statement;
         GatewayTime sentAt;
+        TimePoint receivedAt;
         TimePoint deadline;
     };
     void accept(Received);
@@ -67,6 +68,7 @@
     boost::asio::awaitable<void> serve(Received, std::shared_ptr<Transaction>);
     void refuse(const Received&);
     void reportRunning(const Received&);
+    void endRefused(const Received&);
     void reply(const Received&, std::shared_ptr<wire::Envelope>);
     void end(const TransactionKey&);
     void updateOpenCount();
