Count spending at the latest moment at which it may have happened

Cause: ShareBucket::advance counted all spending since the last change at the first expiry that it met, also at the end of a grant to another instance, after which spending goes on. The tokens that accrued from that end until now, which the full bucket would have dropped, were then added to the spent bucket.

Spending is now counted at the earlier of now and validUntil. The test plays generated schedules (lost, late and duplicate replies, restarts, slots released and slots taken over) on virtual time and compares them with one exact bucket of the whole rate.

--- a/src/include/catkinlock/share_bucket.h
+++ b/src/include/catkinlock/share_bucket.h
@@ -102,6 +102,9 @@
     std::int64_t ownCapacity() const;
     std::int64_t receivedMilliTokens() const;
     void spendReceived(std::int64_t spent);
+    std::int64_t spend(std::int64_t spent, std::int64_t level);
+    std::int64_t expire(TimePoint, std::int64_t level);
+    TimePoint nextExpiry() const;
 
     std::uint32_t rate;
     std::uint32_t burst;
--- a/src/libcore/share_bucket.cpp
+++ b/src/libcore/share_bucket.cpp
@@ -112,40 +112,58 @@
     std::erase_if(this->receivedBatches, [](const Batch& batch) { return !batch.milliTokens; });
 }
 
+std::int64_t ShareBucket::spend(std::int64_t spent, std::int64_t level)
+{
+    this->spendReceived(spent);
+    // A refund may exceed the capacity if the bucket has filled in the meantime.
+    return std::min(level - spent, this->capacity());
+}
+
+// Removes the units, received tokens and outstanding grants that end at `time`. The capacity is constant before.
+std::int64_t ShareBucket::expire(TimePoint time, std::int64_t level)
+{
+    std::int64_t expired = 0;
+    for (const Batch& batch : this->receivedBatches)
+        expired += batch.end <= time ? batch.milliTokens : 0;
+    this->expiredTotal += expired;
+    level = std::max<std::int64_t>(level - expired, 0);
+    std::erase_if(this->receivedBatches, [time](const Batch& batch) { return batch.end <= time; });
+    std::erase_if(this->outstandingGrants, [time](const Batch& batch) { return batch.end <= time; });
+    if (this->leaseEnd <= time)
+        this->ownUnits = 0;
+    return std::min(level, this->capacity());
+}
+
+TimePoint ShareBucket::nextExpiry() const
+{
+    TimePoint next = this->validUntil();
+    for (const Batch& batch : this->outstandingGrants)
+        next = std::min(next, batch.end);
+    return next;
+}
+
 std::int64_t ShareBucket::advance(TimePoint now, std::int64_t level)
 {
-    // The times at which tokens were spent since the last change are unknown. Spending is therefore counted at the end
-    // of the interval: tokens that accrue before it are lost if the bucket is full. If it were counted at the start, a
-    // burst after an idle period would be refilled with tokens that accrued during that period, and exceed the limit.
+    // The times at which tokens were spent since the last change are unknown. Spending is counted at the latest moment
+    // at which it may have happened, so that tokens that a full bucket drops before the spending are not added after
+    // it. Nothing is spent after `validUntil` without another `advance`. The end of a grant to another instance does
+    // not stop spending here.
     std::int64_t spent = this->recordedLevel - level;
+    TimePoint spentBy = std::min(this->validUntil(), now);
+    bool spendingCounted = false;
     level = this->recordedLevel;
-    // Process expiries of batches and units in order of time. Between two expiries the capacity is constant.
-    for (;;) {
-        TimePoint next = this->validUntil();
-        for (const Batch& batch : this->outstandingGrants)
-            next = std::min(next, batch.end);
-        if (next > now)
-            break;
-        // All spending is counted at the first expiry, since nothing is spent after `validUntil` without another
-        // `advance`. The expiry of an outstanding grant is not part of `validUntil`.
-        level = this->accrueTo(next, level) - spent;
-        this->spendReceived(spent);
-        spent = 0;
-        std::int64_t expired = 0;
-        for (const Batch& batch : this->receivedBatches)
-            expired += batch.end <= next ? batch.milliTokens : 0;
-        this->expiredTotal += expired;
-        level = std::max<std::int64_t>(level - expired, 0);
-        std::erase_if(this->receivedBatches, [next](const Batch& batch) { return batch.end <= next; });
-        std::erase_if(this->outstandingGrants, [next](const Batch& batch) { return batch.end <= next; });
-        if (this->leaseEnd <= next)
-            this->ownUnits = 0;
-        level = std::min(level, this->capacity());
+    for (TimePoint next = this->nextExpiry(); next <= now; next = this->nextExpiry()) {
+        level = this->accrueTo(next, level);
+        if (!spendingCounted && next >= spentBy) {
+            level = this->spend(spent, level);
+            spendingCounted = true;
+        }
+        level = this->expire(next, level);
     }
-    level = this->accrueTo(now, level) - spent;
-    this->spendReceived(spent);
-    // A refund may exceed the capacity if the bucket has filled in the meantime.
-    return this->recordLevel(std::min(level, this->capacity()));
+    level = this->accrueTo(now, level);
+    if (!spendingCounted)
+        level = this->spend(spent, level);
+    return this->recordLevel(level);
 }
 
 // Remembers the level that is returned to the caller.
--- a/src/libcore/share_bucket_test.cpp
+++ b/src/libcore/share_bucket_test.cpp
@@ -4,11 +4,13 @@
 #include "catkinlock/share_bucket.h"
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <gtest/gtest.h>
 #include <map>
 #include <queue>
 #include <random>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace catkinlock;
 using std::chrono::milliseconds;
@@ -277,6 +279,349 @@
 
 namespace {
 
+// One token bucket with the rate and burst of a whole workspace, in integers. Its level, in millitokens, is negative at
+// some time exactly if in some window, of any length, more than rate * length + burst requests were admitted.
+class ExactBucket {
+public:
+    ExactBucket(std::uint32_t rate, std::uint32_t burst)
+        : rate(rate)
+        , capacity(burst * milliPerToken)
+        , level(this->capacity)
+    {
+    }
+
+    void advance(milliseconds elapsed)
+    {
+        this->level = std::min(this->capacity, this->level + elapsed.count() * std::int64_t { this->rate });
+    }
+    void take() { this->lowest = std::min(this->lowest, this->level -= milliPerToken); }
+    std::int64_t lowestLevel() const { return this->lowest; }
+
+private:
+    std::uint32_t rate;
+    std::int64_t capacity;
+    std::int64_t level;
+    std::int64_t lowest = 0;
+};
+
+struct ScheduleStep {
+    enum class Kind {
+        // Spends up to `count` tokens without a refill.
+        Spend,
+        Refill,
+        // Requests `count` tokens from `other`. The reply is lost, late or duplicated if the flags say so.
+        Request,
+        Restart,
+        // Gives up the lease on one slot, which `other` acquires at once.
+        Release,
+        // Does not renew its lease again until the platform has ended it and `other` has acquired all its slots.
+        LoseLease,
+    };
+    // Time since the previous step.
+    milliseconds wait { 0 };
+    Kind kind = Kind::Spend;
+    std::size_t instance = 0;
+    std::size_t other = 0;
+    int count = 0;
+    bool isLost = false;
+    bool isLate = false;
+    bool isDuplicate = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const ScheduleStep& step)
+{
+    return out << "+" << step.wait.count() << " ms kind " << static_cast<int>(step.kind) << " at " << step.instance
+               << " other " << step.other << " count " << step.count << (step.isLost ? " lost" : "")
+               << (step.isLate ? " late" : "") << (step.isDuplicate ? " duplicate" : "");
+}
+
+constexpr std::size_t scheduledInstances = 3;
+
+// Most waits are short; some are long enough for grants, and a few for leases, to end.
+rc::Gen<ScheduleStep> scheduleStep()
+{
+    using Kind = ScheduleStep::Kind;
+    auto wait = rc::gen::map(rc::gen::weightedOneOf<int>({ { 6, rc::gen::inRange(0, 30) },
+                                 { 3, rc::gen::inRange(100, 200) }, { 3, rc::gen::inRange(200, 4500) } }),
+        [](int ms) { return milliseconds(ms); });
+    auto kind = rc::gen::weightedElement<Kind>({ { 8, Kind::Spend }, { 1, Kind::Refill }, { 5, Kind::Request },
+        { 1, Kind::Restart }, { 1, Kind::Release }, { 1, Kind::LoseLease } });
+    auto instance = rc::gen::inRange<std::size_t>(0, scheduledInstances);
+    auto count = rc::gen::weightedOneOf<int>({ { 1, rc::gen::inRange(1, 20) }, { 2, rc::gen::inRange(20, 600) } });
+    auto rarely = rc::gen::weightedElement<bool>({ { 4, false }, { 1, true } });
+    return rc::gen::build<ScheduleStep>(rc::gen::set(&ScheduleStep::wait, wait),
+        rc::gen::set(&ScheduleStep::kind, kind), rc::gen::set(&ScheduleStep::instance, instance),
+        rc::gen::set(&ScheduleStep::other, instance), rc::gen::set(&ScheduleStep::count, count),
+        rc::gen::set(&ScheduleStep::isLost, rarely), rc::gen::set(&ScheduleStep::isLate, rarely),
+        rc::gen::set(&ScheduleStep::isDuplicate, rarely));
+}
+
+// As long for the first cases of a property as for the last ones.
+rc::Gen<std::vector<ScheduleStep>> schedule()
+{
+    constexpr std::size_t stepCount = 500;
+    return rc::gen::resize(100, rc::gen::container<std::vector<ScheduleStep>>(stepCount, scheduleStep()));
+}
+
+// A deliberate fault of the schedules' fleet, which the comparison has to detect.
+enum class ScheduleFault {
+    None,
+    RestartKeepsTokens,
+    SlotsChangeHandsBeforeTheLeaseEnds,
+    HolderTakesBackTokensOfALostReply,
+};
+
+// Plays a schedule in virtual time. The instances renew their leases every 4 s and refill only then or when a step says
+// so, like an instance with a quiet workspace.
+class ScheduledFleet {
+public:
+    ScheduledFleet(std::uint32_t rate, std::uint32_t burst, ScheduleFault fault)
+        : rate(rate)
+        , burst(burst)
+        , fault(fault)
+        , exact(rate, burst)
+    {
+        for (std::size_t i = 0; i < scheduledInstances; ++i) {
+            this->instances[i].bucket.emplace_back(rate, burst, this->now);
+            this->instances[i].slots = i == 0 ? 2 : 1;
+            this->renew(i);
+        }
+    }
+
+    // Returns the lowest level of the exact bucket, which is 0 if no window exceeds the limit.
+    std::int64_t play(const std::vector<ScheduleStep>& steps)
+    {
+        for (const ScheduleStep& step : steps) {
+            this->advanceTo(this->now + step.wait);
+            this->run(step);
+        }
+        return this->exact.lowestLevel();
+    }
+
+private:
+    struct ScheduledInstance {
+        // Empty before the start.
+        std::vector<ShareBucket> bucket;
+        std::int64_t level = 0;
+        std::uint32_t slots = 0;
+        TimePoint leaseEnd;
+        bool renews = true;
+        // Ids of the requests that no reply has arrived for; a restart forgets them.
+        std::set<std::uint64_t> pending;
+    };
+
+    static constexpr std::uint64_t unitsPerScheduledSlot = unitsPerWorkspace / 4;
+    static constexpr milliseconds leaseTime { 12000 };
+    static constexpr milliseconds renewalInterval { 4000 };
+    static constexpr milliseconds messageDelay { 3 };
+
+    void advanceTo(TimePoint time)
+    {
+        while (!this->events.empty() && this->events.begin()->first <= time) {
+            auto event = this->events.extract(this->events.begin());
+            this->setTime(event.key());
+            event.mapped()();
+        }
+        this->setTime(time);
+    }
+
+    void setTime(TimePoint time)
+    {
+        this->exact.advance(std::chrono::duration_cast<milliseconds>(time - this->now));
+        this->now = time;
+    }
+
+    ShareBucket& refill(std::size_t index)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        instance.level = instance.bucket[0].advance(this->now, instance.level);
+        return instance.bucket[0];
+    }
+
+    void applySlots(std::size_t index)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        ShareBucket& bucket = this->refill(index);
+        instance.level = bucket.setUnits(unitsPerScheduledSlot * instance.slots, instance.leaseEnd, instance.level);
+    }
+
+    void renew(std::size_t index)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        if (instance.renews) {
+            instance.leaseEnd = this->now + leaseTime;
+            this->applySlots(index);
+        }
+        this->events.emplace(this->now + renewalInterval, [this, index] { this->renew(index); });
+    }
+
+    void run(const ScheduleStep& step)
+    {
+        switch (step.kind) {
+        case ScheduleStep::Kind::Spend:
+            return this->spend(step.instance, step.count);
+        case ScheduleStep::Kind::Refill:
+            this->refill(step.instance);
+            return;
+        case ScheduleStep::Kind::Request:
+            return this->request(step);
+        case ScheduleStep::Kind::Restart:
+            return this->restart(step.instance);
+        case ScheduleStep::Kind::Release:
+            return this->release(step.instance, step.other);
+        case ScheduleStep::Kind::LoseLease:
+            return this->loseLease(step.instance, step.other);
+        }
+    }
+
+    void spend(std::size_t index, int count)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        for (; count && instance.level >= milliPerToken && this->now < instance.bucket[0].validUntil(); --count) {
+            instance.level -= milliPerToken;
+            this->exact.take();
+        }
+    }
+
+    void request(const ScheduleStep& step)
+    {
+        std::uint64_t id = ++this->lastId;
+        this->instances[step.instance].pending.insert(id);
+        this->events.emplace(this->now + messageDelay,
+            [this, step, id, requestedAt = this->now] { this->reply(step, id, requestedAt); });
+    }
+
+    void reply(const ScheduleStep& step, std::uint64_t id, TimePoint requestedAt)
+    {
+        ScheduledInstance& holder = this->instances[step.other];
+        ShareBucket& bucket = this->refill(step.other);
+        TokenGrant grant = bucket.grant(this->now, step.count * milliPerToken, 0, holder.level);
+        if (step.isLost && this->fault == ScheduleFault::HolderTakesBackTokensOfALostReply) {
+            // A holder that takes a late reply for a lost one.
+            holder.level += grant.milliTokens;
+        } else if (step.isLost) {
+            return;
+        }
+        TimePoint arrival = this->now + (step.isLate ? grantDuration : messageDelay);
+        for (int copy = step.isDuplicate ? 2 : 1; copy; --copy)
+            this->events.emplace(arrival,
+                [this, step, id, requestedAt, grant] { this->receive(step.instance, id, requestedAt, grant); });
+    }
+
+    void receive(std::size_t index, std::uint64_t id, TimePoint requestedAt, const TokenGrant& grant)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        if (!instance.pending.erase(id))
+            return;
+        ShareBucket& bucket = this->refill(index);
+        instance.level = bucket.receive(requestedAt, this->now, grant, instance.level);
+    }
+
+    // The instance has its slots again at once, and no tokens.
+    void restart(std::size_t index)
+    {
+        ScheduledInstance& instance = this->instances[index];
+        this->refill(index);
+        std::int64_t level = this->fault == ScheduleFault::RestartKeepsTokens ? instance.level : 0;
+        instance.bucket[0] = ShareBucket(this->rate, this->burst, this->now);
+        instance.level = instance.bucket[0].setUnits(unitsPerScheduledSlot * instance.slots, instance.leaseEnd, 0);
+        instance.level += level;
+        instance.pending.clear();
+    }
+
+    void release(std::size_t from, std::size_t to)
+    {
+        if (!this->instances[from].slots || !this->instances[from].renews || !this->instances[to].renews)
+            return;
+        --this->instances[from].slots;
+        this->applySlots(from);
+        ++this->instances[to].slots;
+        this->applySlots(to);
+    }
+
+    void loseLease(std::size_t from, std::size_t to)
+    {
+        ScheduledInstance& instance = this->instances[from];
+        if (from == to || !instance.renews || this->now >= instance.leaseEnd)
+            return;
+        instance.renews = false;
+        bool tooEarly = this->fault == ScheduleFault::SlotsChangeHandsBeforeTheLeaseEnds;
+        TimePoint end = tooEarly ? this->now : instance.leaseEnd;
+        this->events.emplace(end, [this, from, to] {
+            std::uint32_t slots = std::exchange(this->instances[from].slots, 0);
+            this->instances[to].slots += slots;
+            if (this->instances[to].renews)
+                this->applySlots(to);
+        });
+        this->events.emplace(instance.leaseEnd, [this, from] { this->instances[from].renews = true; });
+    }
+
+    std::uint32_t rate;
+    std::uint32_t burst;
+    ScheduleFault fault;
+    ExactBucket exact;
+    TimePoint now { milliseconds(1000) };
+    std::array<ScheduledInstance, scheduledInstances> instances;
+    std::multimap<TimePoint, std::function<void()>> events;
+    std::uint64_t lastId = 0;
+};
+
+bool someScheduleShows(ScheduleFault fault)
+{
+    auto schedules = schedule();
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        auto steps = schedules(rc::Random(seed), 100).value();
+        if (ScheduledFleet(100, 300, fault).play(steps) < 0)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against tokens that accrue to a full bucket and are then added to the spent one: a quiet workspace could admit
+// its burst and the rate of several seconds at once, if a grant to another instance ended in between.
+RC_GTEST_PROP(ShareBucket, NoScheduleAdmitsMoreThanOneExactBucket, ())
+{
+    auto rate = *rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(1, 1000));
+    auto burst = *rc::gen::resize(100, rc::gen::inRange<std::uint32_t>(1, 500));
+    auto steps = *schedule();
+    RC_ASSERT(ScheduledFleet(rate, burst, ScheduleFault::None).play(steps) >= 0);
+}
+
+TEST(ShareBucket, SchedulesDetectARestartThatKeepsTokens)
+{
+    EXPECT_TRUE(someScheduleShows(ScheduleFault::RestartKeepsTokens));
+}
+
+TEST(ShareBucket, SchedulesDetectSlotsThatChangeHandsTooEarly)
+{
+    EXPECT_TRUE(someScheduleShows(ScheduleFault::SlotsChangeHandsBeforeTheLeaseEnds));
+}
+
+TEST(ShareBucket, SchedulesDetectAHolderThatTakesBackGrantedTokens)
+{
+    EXPECT_TRUE(someScheduleShows(ScheduleFault::HolderTakesBackTokensOfALostReply));
+}
+
+TEST(ShareBucket, SchedulesOfAFleetWithoutFaultShowNone) { EXPECT_FALSE(someScheduleShows(ScheduleFault::None)); }
+
+// A grant to another instance ends while the workspace is quiet, and the burst that follows is spent before the next
+// refill. The tokens that accrued before the burst were dropped by the full bucket.
+TEST(ShareBucket, SpendingAfterTheEndOfAGrantIsNotCountedAtThatEnd)
+{
+    TimePoint start(milliseconds(1000));
+    ShareBucket bucket(100, 300, start);
+    std::int64_t level = bucket.setUnits(unitsPerWorkspace, start + std::chrono::hours(1), 0);
+    TimePoint now = start + milliseconds(5000);
+    level = bucket.advance(now, level);
+    bucket.grant(now, milliPerToken, 0, level);
+    ASSERT_EQ(level, 299 * milliPerToken);
+    EXPECT_EQ(bucket.advance(now + milliseconds(4000), level - 299 * milliPerToken), milliPerToken);
+}
+
+namespace {
+
 // A holder with a full bucket is paused beyond the end of its lease. Another holder takes over all slots and fills its
 // bucket, and then the first one resumes. Returns the millitokens that both together can spend at that moment.
 std::int64_t spendableByBoth(bool checksDeadline)
