Send a leaving primary nothing after its drain time

Cause: FleetView::primaryOf names a leaving primary without a limit of time, and placeWrite and placeRead used it.

MemberDrain records when a member was first seen leaving, and until when it may be sent statements: fleet.member_drain_ms less apply_ms. Half of the time counts as elapsed in the first view of an instance; after a gap without confirmed views, the drain counts from the last confirmation. TargetGroups places nothing at such a primary afterwards. Without the check in placeWrite, TargetGroups.PlacesNothingAtAPrimaryWhoseDrainTimeIsOver fails.

Open: statements of a transaction that is bound already are not placed again; SessionRunner::mayStillRun has to ask FleetView::maySendTo.

--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -44,6 +44,8 @@
     std::uint32_t applyMs = 3000;
     /// Time within which a withdrawn key stops being accepted, 500 to 600000 ms.
     std::uint32_t revocationMs = 5000;
+    /// Time after a member's announcement that it is leaving, from which on no request may reach it, 1000 to 600000 ms.
+    std::uint32_t memberDrainMs = 7000;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 6;
 
--- a/src/libcore/view_budget_test.cpp
+++ b/src/libcore/view_budget_test.cpp
@@ -39,6 +39,15 @@
         >= budget->overdueAfter + budget->overdueSpread + budget->attemptTimeout + budget->attemptTimeout);
 }
 
+TEST(FrontSettings, TheDrainTimeOfAMemberIsASetting)
+{
+    std::string text = settingsText("3000", "5000");
+    EXPECT_EQ(parseFrontSettings(text, "f.toml")->memberDrainMs, 7000u);
+    EXPECT_EQ(parseFrontSettings(text + "member_drain_ms = 1000\n", "f.toml")->memberDrainMs, 1000u);
+    EXPECT_FALSE(parseFrontSettings(text + "member_drain_ms = 999\n", "f.toml"));
+    EXPECT_FALSE(parseFrontSettings(text + "member_drain_ms = 600001\n", "f.toml"));
+}
+
 TEST(ViewBudget, SettingsWhoseBoundsCannotBeKeptAreRefused)
 {
     EXPECT_TRUE(parseFrontSettings(settingsText("3000", "5000"), "f.toml"));
--- a/src/libsession/fleet_view.cpp
+++ b/src/libsession/fleet_view.cpp
@@ -41,6 +41,12 @@
     return members;
 }
 
+bool FleetView::maySendTo(const std::string& member, TimePoint now) const
+{
+    auto end = this->sendEnds.find(member);
+    return end == this->sendEnds.end() || now < end->second;
+}
+
 std::uint64_t FleetView::termOf(const std::string& service) const
 {
     auto record = this->groups.find(service);
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/clock.h"
 #include "catkinlock/group_record.h"
 #include "catkinlock/tables.h"
 #include "catkinlock/target_record.h"
@@ -41,6 +42,8 @@
     std::map<std::string, RegisteredInstance> instances;
     /// Names of instances that have left: they have ended their sessions and use no view.
     std::set<std::string> leftInstances;
+    /// For members that are leaving, the time from which on this instance sends them no statement, by member id.
+    std::map<std::string, TimePoint> sendEnds;
 
     /// True if an instance of this name is registered with this address.
     bool lists(const std::string& name, const std::string& peerAddress) const;
@@ -55,8 +58,10 @@
     std::vector<TargetRecord> membersOf(const std::string& service) const;
     /// The member to use as primary: the one that the group's record names, or without a record the only member that
     /// claims the role. std::nullopt while the primary is being replaced, if the named member is not listed, or if no
-    /// member or several claim the role.
+    /// member or several claim the role. The member may be leaving; see `maySendTo`.
     std::optional<TargetRecord> primaryOf(const std::string& service) const;
+    /// True if a statement may still be sent to the member at `now`, as far as its leaving is concerned.
+    bool maySendTo(const std::string& member, TimePoint now) const;
     /// The term in the group's record; 0 if the group has none.
     std::uint64_t termOf(const std::string& service) const;
     /// True if the group's record names a member that reports itself as a replica, while another member reports itself
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -76,6 +76,11 @@
             / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
     }
 
+    DrainLimits drainLimitsOf(const FrontSettings& settings)
+    {
+        return { Milliseconds(settings.memberDrainMs), Milliseconds(settings.applyMs) };
+    }
+
     // Replaces the names of instances by their peer addresses.
     std::vector<std::string> peerAddresses(const FleetView& view, const std::vector<std::string>& names)
     {
@@ -175,6 +180,7 @@
     , freshness(std::make_shared<ViewFreshness>(this->budget.maxAge, this->budget.applyWithin))
     , builder(this->platform.documentSource)
 {
+    this->builder.setDrainLimits(drainLimitsOf(this->settings));
     this->link = std::make_shared<PeerLink>(this->control, this->settings.fleetSecret);
     this->positions = std::make_unique<PositionExchange>(this->link,
         PositionExchange::Hooks { [this](const std::string& service, const PositionWindow::Sample& sample) {
@@ -304,7 +310,8 @@
 
 void FrontInstance::Parts::publishView()
 {
-    FleetView next = this->builder.build(this->mirror->values(), this->mirror->revision(), Clock::now());
+    FleetView next = this->builder.build(
+        this->mirror->values(), this->mirror->revision(), Clock::now(), this->freshness->confirmed());
     for (const std::string& fault : this->builder.takeFaults())
         writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
     auto tables = next.tables;
@@ -620,6 +627,7 @@
     this->settings = *next;
     this->budget = next->viewBudget().value();
     this->freshness->setMaxAge(this->budget.maxAge, this->budget.applyWithin);
+    this->builder.setDrainLimits(drainLimitsOf(*next));
     this->relay->updateBudget(this->budget);
     this->mirror->updateBudget(this->budget);
 }
--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -3,6 +3,7 @@
 #include "libsession/member_choice.h"
 #include "libsession/operation_token.h"
 #include "libsession/position_window.h"
+#include "libsession/target_groups.h"
 #include "libsession/target_pool.h"
 #include <array>
 #include <boost/asio/io_context.hpp>
@@ -75,6 +76,43 @@
     EXPECT_TRUE(pool.lagsBeyond(Milliseconds(1500), start + Milliseconds(100)));
 }
 
+namespace {
+
+// The view of a service with one member, which is the primary.
+FleetView viewOf(const TargetRecord& member)
+{
+    FleetView view;
+    view.serial = 1;
+    view.targets.set(member);
+    return view;
+}
+
+} // namespace
+
+// Guards against DRAIN: once a leaving primary may get nothing any more, a statement that only it could run has no
+// place, and is refused at once.
+TEST(TargetGroups, PlacesNothingAtAPrimaryWhoseDrainTimeIsOver)
+{
+    boost::asio::io_context context;
+    auto freshness = std::make_shared<ViewFreshness>(Milliseconds(60000));
+    freshness->confirm(start);
+    TargetGroups groups(context.get_executor(), nullptr, freshness, "here");
+    TargetRecord member;
+    member.id = "a";
+    member.service = "s";
+    member.primary = true;
+    member.draining = true;
+    FleetView view = viewOf(member);
+    view.sendEnds["a"] = start + Milliseconds(4000);
+    groups.refresh(view, start);
+    ReadRequirements read;
+    read.service = "s";
+    EXPECT_TRUE(groups.placeWrite(view, "s", start + Milliseconds(3999)));
+    EXPECT_TRUE(groups.placeRead(view, read, {}, start + Milliseconds(3999)));
+    EXPECT_FALSE(groups.placeWrite(view, "s", start + Milliseconds(4000)));
+    EXPECT_FALSE(groups.placeRead(view, read, {}, start + Milliseconds(4000)));
+}
+
 TEST(OperationToken, IsRefundedOnceIfNothingRan)
 {
     OperationToken token;
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -74,7 +74,7 @@
 {
     auto primary = view.primaryOf(service);
     auto pool = primary ? this->poolOf(primary->id) : nullptr;
-    if (!pool || !this->freshness->isFresh(now))
+    if (!pool || !this->freshness->isFresh(now) || !view.maySendTo(primary->id, now))
         return std::nullopt;
     return Placement { pool, std::nullopt, true };
 }
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -69,8 +69,8 @@
     /// The member for a read, other than those in `tried` (member ids); std::nullopt if no member can serve it now.
     std::optional<Placement> placeRead(
         const FleetView&, const ReadRequirements&, const std::set<std::string>& tried, TimePoint now) const;
-    /// The primary, for writes and transactions that may write. std::nullopt if there is none or if the view is too old
-    /// to confirm it.
+    /// The primary, for writes and transactions that may write. std::nullopt if there is none, if it has been leaving
+    /// for so long that nothing may be sent to it any more, or if the view is too old to confirm it.
     std::optional<Placement> placeWrite(const FleetView&, const std::string& service, TimePoint now) const;
 
     /// Notes that a request is sent to a member now.
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -15,9 +15,6 @@
     // How long a member without an entry is kept. After an outage of the store, members that are running write their
     // entries again within this time.
     constexpr Milliseconds missingMemberRetention { 2500 };
-    // How long it is remembered that a member was draining. Longer than the age of a copy from which the store is
-    // restored.
-    constexpr Milliseconds drainingRetention { 60000 };
 
     template <typename Visit>
     void forEachUnder(const std::map<std::string, KeyValue>& values, const std::string& prefix, Visit visit)
@@ -150,8 +147,8 @@
     }
 }
 
-void ViewBuilder::readTargets(
-    const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, FleetView& view)
+void ViewBuilder::readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now,
+    TimePoint confirmedAt, FleetView& view)
 {
     if (this->lastRevision && !StoreRevision::sameEra(this->lastRevision, revision))
         this->restoredRevision = revision;
@@ -161,10 +158,10 @@
         if (target) {
             bool mayBeOlder = entry.revision <= this->restoredRevision;
             if (target->draining)
-                this->drainingSeen[id] = now;
+                this->drain.recordLeaving(id, now, confirmedAt);
             else if (!mayBeOlder)
-                this->drainingSeen.erase(id);
-            target->draining = this->drainingSeen.count(id);
+                this->drain.recordReady(id);
+            target->draining = this->drain.isLeaving(id);
             view.targets.set(*target);
         } else
             this->addFault(entry, fmt::format("target entry of member {} ignored: {}", id, target.error().message));
@@ -181,7 +178,8 @@
             this->missingSince.erase(id);
     }
     this->lastTargets = view.targets;
-    std::erase_if(this->drainingSeen, [now](const auto& entry) { return now - entry.second > drainingRetention; });
+    this->drain.forgetOld(now);
+    view.sendEnds = this->drain.sendEnds();
 }
 
 // A membership that can't be read, or that may be of an older copy of the store, lacks no run of the last view.
@@ -239,14 +237,15 @@
     this->lastInstances = std::move(entries);
 }
 
-FleetView ViewBuilder::build(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now)
+FleetView ViewBuilder::build(
+    const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, TimePoint confirmedAt)
 {
     FleetView view;
     view.serial = ++this->serial;
     view.revision = revision;
     this->readTables(values);
     view.tables = this->tables;
-    this->readTargets(values, revision, now, view);
+    this->readTargets(values, revision, now, confirmedAt, view);
     this->readGroups(values, revision, view);
     this->readMemberships(values, view);
     this->readInstances(values, view);
--- a/src/libsession/view_builder.h
+++ b/src/libsession/view_builder.h
@@ -4,6 +4,7 @@
 #include "catkinlock/document_source.h"
 #include "catkinlock/metadata_store.h"
 #include "libsession/fleet_view.h"
+#include "libsession/member_drain.h"
 #include <map>
 #include <memory>
 #include <string>
@@ -26,8 +27,12 @@
 public:
     explicit ViewBuilder(std::shared_ptr<const DocumentSource>);
 
-    /// Builds the view of `values`, which include every change up to `revision`.
-    FleetView build(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now);
+    /// Sets the limits of sending to members that leave, for the views that are built from now on.
+    void setDrainLimits(const DrainLimits& limits) { this->drain.setLimits(limits); }
+    /// Builds the view of `values`, which include every change up to `revision`. `confirmedAt`: time as of which the
+    /// view in use was last confirmed; the clock's epoch if none was.
+    FleetView build(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now,
+        TimePoint confirmedAt = TimePoint());
     /// Takes a configuration that a peer knows if it is valid and newer than the one in the views. Returns true if so.
     bool learn(const KeyValue&);
     /// The configuration in the views if the store of the last build has none as new, for peers that don't know it.
@@ -53,7 +58,8 @@
     void readGroups(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
     void readMemberships(const std::map<std::string, KeyValue>& values, FleetView&);
     void readInstances(const std::map<std::string, KeyValue>& values, FleetView&);
-    void readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, FleetView&);
+    void readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now,
+        TimePoint confirmedAt, FleetView&);
 
     std::shared_ptr<const DocumentSource> documents;
     std::shared_ptr<const Tables> tables = std::make_shared<const Tables>();
@@ -76,8 +82,8 @@
     TargetDirectory lastTargets;
     // The instances of the last view.
     std::map<std::string, InstanceEntry> lastInstances;
-    // When members that were draining were last seen so, by id.
-    std::map<std::string, TimePoint> drainingSeen;
+    // Members that are leaving.
+    MemberDrain drain;
     // Revision of the last build.
     std::int64_t lastRevision = 0;
     // Revision at which the store was first read in its present era; 0 if no earlier era is known. An entry up to this
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -193,6 +193,36 @@
     EXPECT_FALSE(view.targets.find("b")->draining);
 }
 
+// Guards against DRAIN: a primary that has announced that it is leaving was sent statements for as long as the handover
+// took. It remains the primary in the view, from which the leader decides on the handover.
+TEST(ViewBuilder, TellsUntilWhenALeavingMemberIsSentStatements)
+{
+    ViewBuilder builder = makeBuilder();
+    builder.setDrainLimits({ Milliseconds(8000), Milliseconds(2000) });
+    builder.build(copyOf({ { "members/a", "primary ready", 1 } }), 1, start);
+    auto leaving = copyOf({ { "members/a", "primary draining", 2 } });
+    FleetView view = builder.build(leaving, 2, start + Milliseconds(500), start + Milliseconds(400));
+    EXPECT_TRUE(view.maySendTo("a", start + Milliseconds(6499)));
+    EXPECT_FALSE(view.maySendTo("a", start + Milliseconds(6500)));
+    EXPECT_TRUE(view.maySendTo("b", start + Milliseconds(6500)));
+    EXPECT_EQ(view.primaryOf("s")->id, "a");
+    view = builder.build(leaving, 3, start + Milliseconds(3000), start + Milliseconds(2900));
+    EXPECT_FALSE(view.maySendTo("a", start + Milliseconds(6500)));
+    auto runsAgain = copyOf({ { "members/a", "primary ready", 4 } });
+    view = builder.build(runsAgain, 4, start + Milliseconds(4000), start + Milliseconds(3900));
+    EXPECT_TRUE(view.maySendTo("a", start + Milliseconds(6500)));
+}
+
+// An instance that has just started doesn't know when the drain began.
+TEST(ViewBuilder, TakesHalfOfTheDrainTimeAsElapsedInTheFirstView)
+{
+    ViewBuilder builder = makeBuilder();
+    builder.setDrainLimits({ Milliseconds(8000), Milliseconds(2000) });
+    FleetView view = builder.build(copyOf({ { "members/a", "primary draining", 2 } }), 2, start);
+    EXPECT_TRUE(view.maySendTo("a", start + Milliseconds(1999)));
+    EXPECT_FALSE(view.maySendTo("a", start + Milliseconds(2000)));
+}
+
 TEST(FleetView, PrefersTheGroupRecordToTheMembersClaims)
 {
     ViewBuilder builder = makeBuilder();
