Promote a leaving member only if no other can be, and hand over before serving

Cause: choosePromotion compared the logs first and looked at `draining` only among equal ones, and the leader wrote the promoted member as Serving whether or not it leaves.

choosePromotion now considers leaving members only if no other one certainly has every acknowledged commit. If one is promoted nevertheless, the leader records it as the primary being replaced, in its term, lets the replicas receive its log, and promotes another member before the group serves.

--- a/src/libsession/promotion_choice.cpp
+++ b/src/libsession/promotion_choice.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-    // The longer log ranks higher; with equal logs a member that is not draining does.
-    bool ranksBelow(const PromotionCandidate& left, const PromotionCandidate& right)
-    {
-        return std::pair(left.report.received, !left.draining) < std::pair(right.report.received, !right.draining);
-    }
-
     // True if another candidate reports what the primary in use would have too: a longer log, or a later term.
     bool isBehind(const PromotionCandidate& candidate, const std::vector<PromotionCandidate>& candidates)
     {
@@ -25,33 +19,56 @@
     // True if the candidate's report shows its log.
     bool hasResponded(const PromotionCandidate& candidate) { return candidate.report.term != 0; }
 
+    // The candidate with the longest log of those that may be promoted, leaving members only if `admitsLeaving`; null
+    // if there is none. Of equal logs, that of a member that isn't leaving.
+    const PromotionCandidate* longestLog(
+        const std::vector<PromotionCandidate>& candidates, const PromotionTerms& terms, bool admitsLeaving)
+    {
+        auto rankOf = [](const PromotionCandidate& item) { return std::pair(item.report.received, !item.draining); };
+        const PromotionCandidate* best = nullptr;
+        for (const PromotionCandidate& candidate : candidates) {
+            bool leavesSoon = candidate.draining && terms.avoidsDrainingPrimary;
+            bool avoided = candidate.wasPrimary && (leavesSoon || terms.avoidsFormerPrimary);
+            avoided = avoided || (candidate.draining && !admitsLeaving);
+            if (hasResponded(candidate) && !avoided && (!best || rankOf(*best) < rankOf(candidate)))
+                best = &candidate;
+        }
+        return best;
+    }
+
+    // True if the promotion of `best` loses no acknowledged commit.
+    bool keepsEveryCommit(
+        const PromotionCandidate& best, const std::vector<PromotionCandidate>& candidates, const PromotionTerms& terms)
+    {
+        if (best.report.received < terms.acknowledged)
+            return false;
+        std::size_t uncovered = 0;
+        bool hasEveryCommit = false;
+        for (const PromotionCandidate& candidate : candidates) {
+            bool covered = candidate.fenced && candidate.report.received <= best.report.received;
+            uncovered += !covered;
+            hasEveryCommit = hasEveryCommit || (covered && candidate.hasEveryCommit);
+        }
+        bool areFewUncovered = !terms.mayLackRuns && uncovered <= std::max<std::size_t>(terms.syncReplicas, 1);
+        return hasEveryCommit || (best.fenced && areFewUncovered);
+    }
+
 } // namespace
 
 std::optional<std::string> choosePromotion(
     const std::vector<PromotionCandidate>& candidates, const PromotionTerms& terms)
 {
-    const PromotionCandidate* best = nullptr;
-    for (const PromotionCandidate& candidate : candidates) {
-        // A member still serves as primary, so the logs of the others may grow after they were reported.
-        if (candidate.report.primary && !candidate.fenced)
-            return std::nullopt;
-        bool leavesSoon = candidate.draining && terms.avoidsDrainingPrimary;
-        bool avoided = candidate.wasPrimary && (leavesSoon || terms.avoidsFormerPrimary);
-        if (hasResponded(candidate) && !avoided && (!best || ranksBelow(*best, candidate)))
-            best = &candidate;
-    }
-    if (!best || best->report.received < terms.acknowledged)
+    // While a member still serves as primary, the logs of the others may grow after they were reported.
+    bool isServed = std::any_of(candidates.begin(), candidates.end(),
+        [](const PromotionCandidate& candidate) { return candidate.report.primary && !candidate.fenced; });
+    if (isServed)
         return std::nullopt;
-    std::size_t uncovered = 0;
-    bool hasEveryCommit = false;
-    for (const PromotionCandidate& candidate : candidates) {
-        bool covered = candidate.fenced && candidate.report.received <= best->report.received;
-        uncovered += !covered;
-        hasEveryCommit = hasEveryCommit || (covered && candidate.hasEveryCommit);
+    for (bool admitsLeaving : { false, true }) {
+        const PromotionCandidate* best = longestLog(candidates, terms, admitsLeaving);
+        if (best && keepsEveryCommit(*best, candidates, terms))
+            return best->id;
     }
-    bool areFewUncovered = !terms.mayLackRuns && uncovered <= std::max<std::size_t>(terms.syncReplicas, 1);
-    bool isSafe = hasEveryCommit || (best->fenced && areFewUncovered);
-    return isSafe ? std::optional(best->id) : std::nullopt;
+    return std::nullopt;
 }
 
 void addAbsentRuns(std::vector<PromotionCandidate>& candidates, const std::vector<TargetRecord>& listed,
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -49,7 +49,7 @@
 /// An acknowledged commit is held by the primary and `syncReplicas` replicas, so by more than `syncReplicas` runs. The
 /// member with the longest log is selected if at most that many runs are not known to be covered by it: a run is
 /// covered if it is fenced and its log is no longer. It is also selected if it covers the run that has every commit.
-/// The selected member's log reaches `acknowledged`.
+/// The selected member's log reaches `acknowledged`. A member that is leaving is selected only if no other one can be.
 std::optional<std::string> choosePromotion(const std::vector<PromotionCandidate>&, const PromotionTerms&);
 
 /// Adds the runs of the membership that are not among the candidates, whose members are `listed`: they did not respond.
--- a/src/libsession/promotion_choice_test.cpp
+++ b/src/libsession/promotion_choice_test.cpp
@@ -250,6 +250,47 @@
     EXPECT_EQ(choosePromotion(members, terms), "a");
 }
 
+// Guards against DRAIN at a promotion: the leaving replica has the longest log, but what it has more can't have been
+// acknowledged, so the other replica leads at once.
+TEST(PromotionChoice, AMemberThatIsNotLeavingIsPreferredToALongerLogThatItDoesNotNeed)
+{
+    std::vector<PromotionCandidate> members { candidate("old", true, true, 7), candidate("a", false, true, 8),
+        candidate("leaving", false, true, 9) };
+    members[2].draining = true;
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), "a");
+    EXPECT_EQ(choosePromotion(members, termsFor({ 1, 9 })), "leaving");
+}
+
+// The primary is cut off, and an acknowledged commit may be at it and at the leaving replica only.
+TEST(PromotionChoice, ALeavingMemberLeadsWhereNoOtherCanBePromotedSafely)
+{
+    std::vector<PromotionCandidate> members { candidate("old", true, false, 0), candidate("a", false, true, 8),
+        candidate("leaving", false, true, 9) };
+    members[2].draining = true;
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), "leaving");
+    members[1].report.received.lsn = 9;
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), "a");
+}
+
+// The leader has promoted the leaving member and written that to the record. The next selection, also that of a later
+// leader, neither adopts it nor selects it again once another member has its log.
+TEST(PromotionChoice, ALeavingMemberThatWasPromotedHandsOver)
+{
+    GroupRecord between { GroupRecord::State::Replacing, "leaving", 4 };
+    std::vector<PromotionCandidate> members { candidate("old", false, false, 0), candidate("a", false, true, 8),
+        candidate("leaving", true, false, 9) };
+    members[2].draining = true;
+    members[2].report.term = 4;
+    members[2].report.primary = true;
+    EXPECT_EQ(findPromoted(members, between), std::nullopt);
+    members[2].fenced = true;
+    members[2].report.primary = false;
+    addAbsentRuns(members, {}, {}, between);
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), std::nullopt);
+    members[1].report.received.lsn = 9;
+    EXPECT_EQ(choosePromotion(members, PromotionTerms()), "a");
+}
+
 // Its log is the longest, since its replicas received nothing more.
 TEST(PromotionChoice, APrimaryThatIsCutFromItsReplicasIsNotPromotedAgain)
 {
@@ -275,6 +316,34 @@
     EXPECT_EQ(choosePromotion(members, termsFor({}, true)), std::nullopt);
 }
 
+// Whichever members respond and are fenced, a leaving one is selected only if no other one is among those that remain.
+RC_GTEST_PROP(PromotionChoice, SelectsALeavingMemberOnlyIfNoOtherCanBe, ())
+{
+    std::vector<PromotionCandidate> members;
+    for (int i = *rc::gen::inRange(2, 6); i; --i) {
+        members.push_back(candidate(
+            std::to_string(i), members.empty(), *rc::gen::arbitrary<bool>(), *rc::gen::inRange<std::uint64_t>(0, 6)));
+        members.back().draining = *rc::gen::arbitrary<bool>();
+    }
+    members[0].hasEveryCommit = *rc::gen::arbitrary<bool>();
+    PromotionTerms terms = termsFor({}, *rc::gen::arbitrary<bool>());
+    auto isLeaving = [&](const std::string& id) {
+        return std::any_of(
+            members.begin(), members.end(), [&](const auto& item) { return item.id == id && item.draining; });
+    };
+    auto chosen = choosePromotion(members, terms);
+    if (!chosen || !isLeaving(*chosen))
+        return;
+    // The same candidates, of which those that are leaving don't show that they may be promoted.
+    auto silent = members;
+    for (PromotionCandidate& member : silent) {
+        // A log that is not reported ranks last, and its member stays uncovered.
+        if (member.draining)
+            member.report = {}, member.fenced = false;
+    }
+    RC_ASSERT(!choosePromotion(silent, terms));
+}
+
 // A commit that the primary and one replica hold is never lost, whichever members respond and are fenced.
 RC_GTEST_PROP(PromotionChoice, KeepsEveryCommitThatOneReplicaHas, ())
 {
--- a/src/libsession/replacement.cpp
+++ b/src/libsession/replacement.cpp
@@ -343,6 +343,36 @@
     co_return term;
 }
 
+// Hands the role of a leaving member, which was promoted because no other one had its log, over to another member
+// without serving in between. The record names the leaving member from then on, so that the next leader goes on from
+// here if this one ends. Returns the leaving member again if no other one gets its log, std::nullopt on failure.
+asio::awaitable<std::optional<GroupReplacer::Promoted>> GroupReplacer::handOver(
+    ReplacementDecision decision, GroupMembership membership, Mark mark, Promoted leaving)
+{
+    auto self = this->shared_from_this();
+    // The primary before, if it isn't fenced, counts no longer as a former one below.
+    if (!isFormerPrimaryFenced(leaving.member.candidates))
+        co_await this->awaitViews(decision, mark);
+    co_await this->awaitResumes(decision.service);
+    if (!this->mayAct(decision))
+        co_return std::nullopt;
+    GroupRecord between { GroupRecord::State::Replacing, leaving.member.target.id, leaving.term };
+    std::int64_t written = co_await this->writeRecord(decision.service, leaving.recordRevision, between);
+    writeLog(LogLevel::Info, "leaving_member_promoted",
+        { { "service", decision.service }, { "member", between.primary },
+            { "term", text(static_cast<std::int64_t>(between.term)) }, { "recorded", written ? "true" : "false" } });
+    if (!written)
+        co_return std::nullopt;
+    decision.planned = true;
+    auto selected = co_await this->selectNewPrimary(decision, between, std::move(membership));
+    if (!selected)
+        co_return std::nullopt;
+    std::uint64_t term = co_await this->makePrimary(decision, *selected);
+    if (!term)
+        co_return std::nullopt;
+    co_return Promoted { std::move(*selected), term, written };
+}
+
 // Lets replicas receive again that were paused after the promotion had taken effect. Not awaited here, because one that
 // does not respond would delay the new primary.
 void GroupReplacer::resumeReplicas(const ReplacementDecision& decision, const std::string& primary)
@@ -407,15 +437,21 @@
     std::uint64_t term = co_await this->makePrimary(decision, *selected);
     if (!term)
         co_return false;
+    std::optional<Promoted> promoted = Promoted { std::move(*selected), term, mark.revision };
+    if (promoted->member.target.draining)
+        promoted = co_await this->handOver(decision, *membership, mark, *promoted);
+    if (!promoted)
+        co_return false;
     co_await this->awaitViews(decision, mark);
     if (!this->mayAct(decision))
         co_return false;
-    GroupRecord serving { GroupRecord::State::Serving, selected->target.id, term };
-    std::int64_t written = co_await this->writeRecord(service, mark.revision, serving);
+    GroupRecord serving { GroupRecord::State::Serving, promoted->member.target.id, promoted->term };
+    std::int64_t written = co_await this->writeRecord(service, promoted->recordRevision, serving);
     this->promotionCount += written != 0;
     writeLog(LogLevel::Info, "primary_serves",
-        { { "service", service }, { "member", selected->target.id }, { "term", text(static_cast<std::int64_t>(term)) },
-            { "adopted", selected->isPromoted ? "true" : "false" },
+        { { "service", service }, { "member", serving.primary },
+            { "term", text(static_cast<std::int64_t>(serving.term)) },
+            { "adopted", promoted->member.isPromoted ? "true" : "false" },
             { "took_ms", text(std::chrono::duration_cast<Milliseconds>(Clock::now() - start).count()) } });
     co_return written != 0;
 }
--- a/src/libsession/replacement.h
+++ b/src/libsession/replacement.h
@@ -80,6 +80,13 @@
         // All runs of the group, as they were when the member was selected.
         std::vector<PromotionCandidate> candidates;
     };
+    // A member that has become the primary.
+    struct Promoted {
+        NewPrimary member;
+        std::uint64_t term = 0;
+        // Revision of the group's record, which says that the primary is being replaced.
+        std::int64_t recordRevision = 0;
+    };
     // The write of a group's record that says that its primary is being replaced.
     struct Mark {
         std::int64_t revision = 0;
@@ -107,6 +114,8 @@
     void logFencing(const std::string& service, const std::vector<PromotionCandidate>&,
         const std::optional<std::string>& chosen) const;
     boost::asio::awaitable<std::uint64_t> makePrimary(ReplacementDecision, NewPrimary);
+    boost::asio::awaitable<std::optional<Promoted>> handOver(
+        ReplacementDecision, GroupMembership, Mark, Promoted leaving);
     void resumeReplicas(const ReplacementDecision&, const std::string& primary);
     boost::asio::awaitable<void> sleepFor(Milliseconds);
 
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -17,6 +17,7 @@
 #include <mutex>
 #include <random>
 #include <set>
+#include <sstream>
 #include <thread>
 
 using namespace catkinlock;
@@ -350,6 +351,18 @@
     EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
 }
 
+// True if an instance has written that this member serves as the primary.
+bool hasServed(PromotionFleet& fleet, const std::string& member)
+{
+    std::istringstream lines(fleet.history());
+    for (std::string line; std::getline(lines, line);) {
+        bool serves = line.find(R"("primary_serves")") != std::string::npos;
+        if (serves && line.find(fmt::format(R"("member":"{}")", member)) != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 } // namespace
 
 // Guards against LOST at a promotion: the lagging replica counts as the whole group.
@@ -411,6 +424,34 @@
     playStandstill(StandstillEnd::AfterTheFence);
 }
 
+// Guards against DRAIN at a promotion: the primary is dark, and only a replica that leaves has every commit. It was
+// made the serving primary, and got all statements for as long as the views and the next replacement took.
+TEST(Promotions, ALeavingMemberThatIsPromotedHandsOverBeforeTheGroupServes)
+{
+    PromotionFleet fleet(2);
+    const auto& members = fleet.group.members();
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    // A membership is complete 10 s after the start of a fleet.
+    std::this_thread::sleep_for(milliseconds(11000));
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(true); });
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
+    fleet.runOnStandInThread([&] { members[1]->setDraining(true); });
+    // The announcement is in the views by then.
+    std::this_thread::sleep_for(milliseconds(1500));
+    fleet.runOnStandInThread([&] {
+        members[0]->goDark(milliseconds(30000));
+        members[2]->setDeaf(false);
+    });
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last")) << fleet.history();
+    bool otherLeads = false;
+    fleet.runOnStandInThread([&] { otherLeads = members[2]->isPrimary(); });
+    EXPECT_TRUE(otherLeads) << fleet.history();
+    EXPECT_NE(fleet.history().find(R"("leaving_member_promoted")"), std::string::npos) << fleet.history();
+    EXPECT_FALSE(hasServed(fleet, members[1]->id())) << fleet.history();
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 // Guards against LOST after a loss of power: all instances restart without a memory of the positions that they
 // acknowledged, and then the primary is down while one replica lags.
 TEST(Promotions, NoCommitIsLostWhenAllInstancesRestartAtOnce)
