Evacuated data centres get no statements and hand their primaries over

An operator's key under the platform's prefix evacuates a data centre. Each instance reads it from its copy of the store; a member there is not placed on, and a primary there hands its role over as a leaving one does, if the group has a member elsewhere.

--- a/src/libsession/fleet_view.cpp
+++ b/src/libsession/fleet_view.cpp
@@ -41,6 +41,27 @@
     return members;
 }
 
+std::vector<TargetRecord> FleetView::promotionMembersOf(const std::string& service) const
+{
+    auto members = this->membersOf(service);
+    for (TargetRecord& member : members)
+        member.draining = member.draining || this->isEvacuated(member);
+    return members;
+}
+
+bool FleetView::isEvacuated(const TargetRecord& member) const { return this->evacuated.count(member.dataCentre) != 0; }
+
+bool FleetView::isToHandOver(const std::string& service) const
+{
+    auto primary = this->primaryOf(service);
+    if (!primary || primary->draining)
+        return primary.has_value();
+    auto members = this->promotionMembersOf(service);
+    bool otherStays
+        = std::any_of(members.begin(), members.end(), [](const TargetRecord& member) { return !member.draining; });
+    return this->isEvacuated(*primary) && otherStays;
+}
+
 std::uint64_t FleetView::termOf(const std::string& service) const
 {
     auto record = this->groups.find(service);
--- a/src/libsession/fleet_view.h
+++ b/src/libsession/fleet_view.h
@@ -37,6 +37,8 @@
     std::map<std::string, GroupRecord> groups;
     /// The membership of each group, by service. A group has none until an instance has written it.
     std::map<std::string, GroupMembership> memberships;
+    /// Names of the data centres that operators have evacuated: no statement is sent to the members there.
+    std::set<std::string> evacuated;
     /// All registered instances, by name.
     std::map<std::string, RegisteredInstance> instances;
     /// Names of instances that have left: they have ended their sessions and use no view.
@@ -53,6 +55,13 @@
     std::size_t syncReplicasOf(const std::string& service) const;
     /// Members of a service, sorted by id; empty if the service is unknown.
     std::vector<TargetRecord> membersOf(const std::string& service) const;
+    /// The same for the choice of a primary: a member in an evacuated data centre counts as draining.
+    std::vector<TargetRecord> promotionMembersOf(const std::string& service) const;
+    /// True if the member is in an evacuated data centre.
+    bool isEvacuated(const TargetRecord&) const;
+    /// True if the primary is to hand its role over: it is draining, or it is in an evacuated data centre and a member
+    /// is listed that is neither draining nor evacuated.
+    bool isToHandOver(const std::string& service) const;
     /// The member to use as primary: the one that the group's record names, or without a record the only member that
     /// claims the role. std::nullopt while the primary is being replaced, if the named member is not listed, or if no
     /// member or several claim the role.
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -307,6 +307,8 @@
     FleetView next = this->builder.build(this->mirror->values(), this->mirror->revision(), Clock::now());
     for (const std::string& fault : this->builder.takeFaults())
         writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
+    for (const EvacuationEvent& event : this->builder.takeEvacuationEvents())
+        logEvacuation(event);
     auto tables = next.tables;
     this->followOwnEntry(next);
     this->promoter->recordView(next, this->freshness->confirmed(), Clock::now());
@@ -486,6 +488,8 @@
             count(tokens.expiredMilliTokens) / milliPerToken, true },
         { "slots_held", "Slots held under a lease", count(this->slotKeeper->held().size()) },
         { "configuration", "Version of the configuration in force", count(this->activeTablesRevision) },
+        { "evacuated_data_centres", "Data centres that operators have evacuated",
+            count(this->view->read()->evacuated.size()) },
         { "view_age_milliseconds", "Age of the last confirmed view of the store",
             count(this->freshness->age(Clock::now()).count()) },
         { "primaries_replaced_total", "Primaries that this instance replaced", count(this->promoter->promotions()),
--- a/src/libsession/primary_watch.h
+++ b/src/libsession/primary_watch.h
@@ -11,7 +11,7 @@
     /// False if no member can be used as primary: it is being replaced or is not listed, or no member or several claim
     /// the role.
     bool known = false;
-    /// True if the primary has announced that it is leaving.
+    /// True if the primary is to hand its role over, because it is leaving or its data centre is evacuated.
     bool draining = false;
     /// How long the members have reported that the primary is a replica and another member is the primary. A replica
     /// refuses writes, and a refusal is a success.
--- a/src/libsession/promoter.cpp
+++ b/src/libsession/promoter.cpp
@@ -117,7 +117,7 @@
     watch.primaryObservedAt = now;
     watch.primary = primaryInUse(view, service);
     PrimaryEvidence evidence = collectEvidence(watch.primary, this->observationOf(primary->id), watch.peerReports, now);
-    evidence.draining = primary->draining;
+    evidence.draining = view.isToHandOver(service);
     evidence.deposedFor = watch.role.observe(watch.primary, view.isDeposed(service), now);
     return evidence;
 }
@@ -381,7 +381,7 @@
     decision.service = service;
     if (auto primary = view.primaryOf(service)) {
         decision.primary = primary->id;
-        decision.planned = primary->draining;
+        decision.planned = view.isToHandOver(service);
     }
     auto record = view.groups.find(service);
     if (record != view.groups.end())
--- a/src/libsession/promotion_choice.h
+++ b/src/libsession/promotion_choice.h
@@ -14,7 +14,7 @@
     std::string id;
     /// True if the group's record names the member as the primary, or if it reported that it is one.
     bool wasPrimary = false;
-    /// True if the member has announced that it is leaving.
+    /// True if the member has announced that it is leaving, or if its data centre is evacuated.
     bool draining = false;
     /// True if it has confirmed the fence: it is a replica, and receives nothing more from any primary.
     bool fenced = false;
--- a/src/libsession/replacement.cpp
+++ b/src/libsession/replacement.cpp
@@ -99,7 +99,7 @@
     bool isReplacing = decision.record && decision.record->state == GroupRecord::State::Replacing;
     if (decision.planned || decision.requested || isReplacing || decision.primary.empty())
         co_return true;
-    auto listed = this->parts.view->read()->membersOf(decision.service);
+    auto listed = this->parts.view->read()->promotionMembersOf(decision.service);
     auto reports = co_await this->members->reports(listed, decision.primary);
     bool responds = std::any_of(reports.begin(), reports.end(), [&decision](const PromotionCandidate& member) {
         return member.id == decision.primary && member.report.primary;
@@ -241,7 +241,7 @@
         auto view = this->parts.view->read();
         bool pauseAll = !decision.planned || rounds >= roundsBeforePause;
         ++rounds;
-        auto listed = view->membersOf(decision.service);
+        auto listed = view->promotionMembersOf(decision.service);
         auto mayAct = this->guardOf(decision);
         auto candidates = co_await this->members->fence(listed, old, pauseAll, std::move(mayAct));
         auto promoted = findPromoted(candidates, old);
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -49,6 +49,8 @@
         if (!pool)
             pool = std::make_shared<TargetPool>(this->executor, this->protocol, target);
         pool->setTarget(target);
+        if (!mayUse(view, *pool))
+            pool->closeAll();
         auto service = view.tables->pools.find(target.service);
         std::size_t maxConnections
             = service == view.tables->pools.end() ? 1 : service->second.databases.front().connections;
@@ -69,7 +71,8 @@
     return found == this->poolById.end() ? nullptr : found->second;
 }
 
-std::optional<Placement> TargetGroups::placeWrite(
+// The primary that the view names, also if nothing may be sent to it: its replies to earlier statements still count.
+std::optional<Placement> TargetGroups::primaryInUse(
     const FleetView& view, const std::string& service, TimePoint now) const
 {
     auto primary = view.primaryOf(service);
@@ -79,6 +82,15 @@
     return Placement { pool, std::nullopt, true };
 }
 
+bool TargetGroups::mayUse(const FleetView& view, const TargetPool& pool) { return !view.isEvacuated(pool.target()); }
+
+std::optional<Placement> TargetGroups::placeWrite(
+    const FleetView& view, const std::string& service, TimePoint now) const
+{
+    auto primary = this->primaryInUse(view, service, now);
+    return primary && mayUse(view, *primary->pool) ? primary : std::nullopt;
+}
+
 std::optional<Placement> TargetGroups::placeRead(const FleetView& view, const ReadRequirements& requirements,
     const std::set<std::string>& tried, TimePoint now) const
 {
@@ -100,7 +112,7 @@
     for (const TargetRecord& target : view.membersOf(requirements.service)) {
         bool isPrimary = primary && primary->pool->target().id == target.id;
         auto pool = this->poolOf(target.id);
-        if (!pool || target.draining)
+        if (!pool || target.draining || view.isEvacuated(target))
             continue;
         MemberLoad load = pool->load(requirements.workspace, now);
         load.isPrimary = isPrimary;
@@ -121,7 +133,7 @@
 
 SentRequest TargetGroups::requestTo(const FleetView& view, std::shared_ptr<TargetPool> pool, TimePoint now) const
 {
-    auto primary = this->placeWrite(view, pool->target().service, now);
+    auto primary = this->primaryInUse(view, pool->target().service, now);
     bool toPrimary = primary && primary->pool == pool;
     return { std::move(pool), now, toPrimary };
 }
@@ -130,7 +142,7 @@
     const FleetView& view, const SentRequest& request, const Position& position, TimePoint now)
 {
     const std::string& service = request.pool->target().service;
-    auto primary = this->placeWrite(view, service, now);
+    auto primary = this->primaryInUse(view, service, now);
     if (request.toPrimary && primary && primary->pool == request.pool)
         this->recordPrimaryPosition(service, position, request.sentAt);
 }
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -73,6 +73,10 @@
     /// to confirm it.
     std::optional<Placement> placeWrite(const FleetView&, const std::string& service, TimePoint now) const;
 
+    /// False if the member is in an evacuated data centre, so that nothing may be sent to it. To be asked again just
+    /// before a statement is sent, because the view may have changed since the placement.
+    static bool mayUse(const FleetView&, const TargetPool&);
+
     /// Notes that a request is sent to a member now.
     SentRequest requestTo(const FleetView&, std::shared_ptr<TargetPool>, TimePoint now) const;
     /// Records the position in the reply to a request as the primary's, if the member was the primary when the request
@@ -102,6 +106,7 @@
 
 private:
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
+    std::optional<Placement> primaryInUse(const FleetView&, const std::string& service, TimePoint now) const;
 
     boost::asio::any_io_executor executor;
     std::shared_ptr<const TargetProtocol> protocol;
--- a/src/libsession/view_builder.cpp
+++ b/src/libsession/view_builder.cpp
@@ -66,6 +66,7 @@
 
 ViewBuilder::ViewBuilder(std::shared_ptr<const DocumentSource> documents)
     : documents(std::move(documents))
+    , evacuations([source = this->documents](const std::string& text) { return source->parseEvacuation(text); })
 {
 }
 
@@ -239,6 +240,18 @@
     this->lastInstances = std::move(entries);
 }
 
+// Takes the data centres of the view's members, so these have to be read before.
+void ViewBuilder::readEvacuations(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView& view)
+{
+    std::map<std::string, KeyValue> entries;
+    forEachUnder(values, this->documents->evacuationPrefix(),
+        [&entries](const std::string& dataCentre, const KeyValue& entry) { entries[dataCentre] = entry; });
+    std::set<std::string> memberDataCentres;
+    for (const auto& [id, target] : view.targets.all())
+        memberDataCentres.insert(target.dataCentre);
+    view.evacuated = this->evacuations.update(entries, memberDataCentres, revision);
+}
+
 FleetView ViewBuilder::build(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now)
 {
     FleetView view;
@@ -247,6 +260,7 @@
     this->readTables(values);
     view.tables = this->tables;
     this->readTargets(values, revision, now, view);
+    this->readEvacuations(values, revision, view);
     this->readGroups(values, revision, view);
     this->readMemberships(values, view);
     this->readInstances(values, view);
--- a/src/libsession/view_builder.h
+++ b/src/libsession/view_builder.h
@@ -3,6 +3,7 @@
 #include "catkinlock/clock.h"
 #include "catkinlock/document_source.h"
 #include "catkinlock/metadata_store.h"
+#include "libsession/evacuation.h"
 #include "libsession/fleet_view.h"
 #include <map>
 #include <memory>
@@ -39,6 +40,8 @@
     bool hasPendingRemovals() const { return !this->missingSince.empty(); }
     /// Returns the errors found in documents since the last call, for the log: one for each revision of a document.
     std::vector<std::string> takeFaults();
+    /// Returns the changes of evacuations since the last call, for the log.
+    std::vector<EvacuationEvent> takeEvacuationEvents() { return this->evacuations.takeEvents(); }
 
 private:
     struct InstanceEntry {
@@ -53,10 +56,12 @@
     void readGroups(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
     void readMemberships(const std::map<std::string, KeyValue>& values, FleetView&);
     void readInstances(const std::map<std::string, KeyValue>& values, FleetView&);
+    void readEvacuations(const std::map<std::string, KeyValue>& values, std::int64_t revision, FleetView&);
     void readTargets(const std::map<std::string, KeyValue>& values, std::int64_t revision, TimePoint now, FleetView&);
 
     std::shared_ptr<const DocumentSource> documents;
     std::shared_ptr<const Tables> tables = std::make_shared<const Tables>();
+    EvacuationTracker evacuations;
     // The text of `tables`.
     std::string tablesText;
     // Version of the valid configuration that the store had last; 0 if there was none.
--- a/src/libsession/view_builder_test.cpp
+++ b/src/libsession/view_builder_test.cpp
@@ -15,6 +15,8 @@
 public:
     std::string tablesKey() const override { return "tables"; }
     std::string targetPrefix() const override { return "members/"; }
+    std::string evacuationPrefix() const override { return "evacuate/"; }
+    tl::expected<void, Error> parseEvacuation(const std::string&) const override { return {}; }
     tl::expected<Tables, Error> parseTables(const std::string& text) const override
     {
         if (text.empty())
