--- a/src/standin/replicated_member.cpp
+++ b/src/standin/replicated_member.cpp
@@ -130,9 +130,10 @@
 
 std::string ReplicatedMember::entry() const
 {
-    return fmt::format(R"({{"service":"{}","address":"{}","zone":"a","slots":8,"state":"{}","dbRole":"{}","born":{}}})",
-        this->group.service(), formatAddress(this->acceptor.local_endpoint()), this->draining ? "draining" : "ready",
-        this->primary ? "primary" : "replica", this->startedAt);
+    return fmt::format(
+        R"({{"service":"{}","address":"{}","zone":"{}","slots":8,"state":"{}","dbRole":"{}","born":{}}})",
+        this->group.service(), formatAddress(this->acceptor.local_endpoint()), this->dataCentre,
+        this->draining ? "draining" : "ready", this->primary ? "primary" : "replica", this->startedAt);
 }
 
 asio::awaitable<void> ReplicatedMember::sendHeartbeats()
@@ -296,6 +297,8 @@
     if (word == "BEGIN")
         connection->state = TransactionState::Open;
     bool works = word == "READ" || word == "WRITE" || word == "COMMIT";
+    if (works || word == "BEGIN")
+        this->lastWorkAt = std::chrono::steady_clock::now();
     if (!works) {
         if (word == "ROLLBACK") {
             connection->state = TransactionState::Idle;
--- a/src/standin/replicated_member.h
+++ b/src/standin/replicated_member.h
@@ -59,6 +59,11 @@
     void handOver(std::string id);
     /// Sets whether the member announces that it leaves.
     void setDraining(bool draining) { this->draining = draining; }
+    /// Sets the data centre in the member's entry.
+    void setDataCentre(std::string name) { this->dataCentre = std::move(name); }
+    /// When the member last received a read, a write, or the begin or commit of a transaction; the clock's epoch if it
+    /// never did.
+    std::chrono::steady_clock::time_point workReceivedAt() const { return this->lastWorkAt; }
     /// Time that each read, write and commit takes.
     void setWorkTime(std::chrono::milliseconds time) { this->workTime = time; }
     /// Time that each command of an instance takes, among them STATUS and PAUSE.
@@ -101,6 +106,8 @@
     // Id of the member that it receives nothing from; empty if there is none.
     std::string cutMember;
     bool draining = false;
+    std::string dataCentre = "a";
+    TimePoint lastWorkAt;
     TimePoint frozenUntil;
     TimePoint darkUntil;
     TimePoint storeLostUntil;
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -15,6 +15,7 @@
 #include <future>
 #include <gtest/gtest.h>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <set>
 #include <thread>
@@ -156,6 +157,20 @@
     }
 }
 
+// Sends reads that replicas may serve through one instance until `ended`.
+void runReader(PromotionFleet& fleet, std::size_t instance, const std::atomic<bool>& ended)
+{
+    while (!ended) {
+        LineCaller caller(fleet.fronts->callerAddress(instance), "bounded_staleness-db", "key-1");
+        bool open = caller.openResponse.starts_with("READY");
+        while (open && !ended) {
+            open = !caller.run("READ item").empty();
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        std::this_thread::sleep_for(waitInterval);
+    }
+}
+
 // What happens to one member.
 void disturbMember(PromotionFleet& fleet, ReplicatedMember& member, unsigned how, milliseconds time)
 {
@@ -350,8 +365,89 @@
     EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
 }
 
+// The first instance whose output contains the text; std::nullopt if none has it in time.
+std::optional<std::size_t> awaitInstanceThatLogs(PromotionFleet& fleet, const std::string& text)
+{
+    auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (std::chrono::steady_clock::now() < end) {
+        for (std::size_t i = 0; i < fleet.fronts->size(); ++i) {
+            if (fleet.fronts->process(i).output().find(text) != std::string::npos)
+                return i;
+        }
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    return std::nullopt;
+}
+
+// When the members before the last one have received work for the last time.
+std::chrono::steady_clock::time_point lastWorkInFirstDataCentre(PromotionFleet& fleet)
+{
+    std::chrono::steady_clock::time_point last;
+    fleet.runOnStandInThread([&] {
+        const auto& members = fleet.group.members();
+        for (std::size_t i = 0; i + 1 < members.size(); ++i)
+            last = std::max(last, members[i]->workReceivedAt());
+    });
+    return last;
+}
+
 } // namespace
 
+// Guards against work that still reaches an evacuated data centre, and against a commit that is lost when its primary
+// is handed over to a member elsewhere while the instance that does so is killed.
+TEST(Promotions, AnEvacuatedPrimaryIsHandedOverAlthoughTheLeaderIsKilled)
+{
+    constexpr std::chrono::seconds evacuationTime(5);
+    PromotionFleet fleet(3, [](ReplicatedGroup& group) { group.members()[2]->setDataCentre("b"); });
+    std::atomic<bool> ended = false;
+    std::vector<std::thread> clients;
+    for (unsigned i = 0; i < 3; ++i) {
+        clients.emplace_back([&fleet, &ended, i] { runClient(fleet, i, ended, i); });
+        clients.emplace_back([&fleet, &ended, i] { runReader(fleet, i, ended); });
+    }
+    std::this_thread::sleep_for(milliseconds(1500));
+    fleet.runOnStandInThread([&] { fleet.store->put("op/evacuate/a", "{}"); });
+    auto requestedAt = std::chrono::steady_clock::now();
+    auto leader = awaitInstanceThatLogs(fleet, "members_fenced");
+    EXPECT_TRUE(leader) << fleet.history();
+    std::size_t survivor = leader == 0u ? 1 : 0;
+    fleet.fronts->process(leader.value_or(2)).kill();
+    EXPECT_TRUE(writeUntilDone(fleet, survivor, "WRITE seat late")) << fleet.history();
+    std::this_thread::sleep_until(requestedAt + evacuationTime + std::chrono::seconds(3));
+    EXPECT_LT(lastWorkInFirstDataCentre(fleet), requestedAt + evacuationTime) << fleet.history();
+    fleet.runOnStandInThread([&] { EXPECT_EQ(fleet.group.primary(), fleet.group.members()[2].get()); });
+    fleet.runOnStandInThread([&] { fleet.store->erase("op/evacuate/a"); });
+    auto withdrawnAt = std::chrono::steady_clock::now();
+    EXPECT_TRUE(awaitInstanceThatLogs(fleet, "evacuation_ended")) << fleet.history();
+    for (int i = 0; i < maxWriteAttempts && lastWorkInFirstDataCentre(fleet) < withdrawnAt; ++i)
+        std::this_thread::sleep_for(waitInterval);
+    EXPECT_GE(lastWorkInFirstDataCentre(fleet), withdrawnAt) << fleet.history();
+    ended = true;
+    for (std::thread& client : clients)
+        client.join();
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
+// Guards against an evacuation of everything that moves primaries about, or that lets anything through.
+TEST(Promotions, WithAllDataCentresEvacuatedEverythingIsRefused)
+{
+    PromotionFleet fleet(1);
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    fleet.runOnStandInThread([&] { fleet.store->put("op/evacuate/a", "{}"); });
+    ASSERT_TRUE(awaitInstanceThatLogs(fleet, "evacuation_begun"));
+    for (const char* database : { "primary-db", "bounded_staleness-db", "read_your_writes-db" }) {
+        LineCaller caller(fleet.fronts->callerAddress(0), database, "key-1");
+        EXPECT_NE(caller.run("READ seat").find("ERR BUSY"), std::string::npos) << database;
+    }
+    LineCaller caller(fleet.fronts->callerAddress(0), "primary-db", "key-1");
+    EXPECT_NE(caller.run("WRITE seat late").find("ERR BUSY"), std::string::npos);
+    // Longer than a primary may be unknown or unusable before it is replaced.
+    std::this_thread::sleep_for(milliseconds(3500));
+    fleet.runOnStandInThread([&] { EXPECT_EQ(fleet.group.promotions(), 0u) << fleet.group.history(); });
+    fleet.runOnStandInThread([&] { fleet.store->erase("op/evacuate/a"); });
+    EXPECT_TRUE(writeUntilDone(fleet, 0, "WRITE seat last"));
+}
+
 // Guards against LOST at a promotion: the lagging replica counts as the whole group.
 TEST(Promotions, ALaggingReplicaIsNotPromotedWhileTheOthersAreDown) { playLaggingReplica(milliseconds(0)); }
 
