Statements to members that warm up are bounded over the whole fleet

Each instance may send its share of coldPerS x warm_up_excess + warm_up_slack in any second. A new instance sends such a member nothing until the views of all others list it, so that the shares never add up to more.

--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -44,6 +44,10 @@
     std::uint32_t applyMs = 3000;
     /// Time within which a withdrawn key stops being accepted, 500 to 600000 ms.
     std::uint32_t revocationMs = 5000;
+    /// All instances together send a member that warms up at most `warmUpExcess` times the rate of its service and
+    /// `warmUpSlack` statements in any second. 0 to 1000, and 0 to 1000000.
+    double warmUpExcess = 1.5;
+    double warmUpSlack = 5;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 6;
 
--- a/src/include/catkinlock/tables.h
+++ b/src/include/catkinlock/tables.h
@@ -41,6 +41,8 @@
     std::vector<Database> databases;
     /// Number of replicas that have received a commit before it is acknowledged.
     std::uint32_t syncReplicas = 1;
+    /// Requests per second that a member takes while it warms up; 0 means no bound.
+    std::uint32_t coldPerS = 0;
 
     auto operator<=>(const Pool&) const = default;
 };
--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -41,6 +41,8 @@
     reader.number("fleet", "lease_seconds", settings.leaseSeconds, 2, 86400);
     reader.number("fleet", "apply_ms", settings.applyMs, 500, 600000);
     reader.number("fleet", "revocation_ms", settings.revocationMs, 500, 600000);
+    reader.real("fleet", "warm_up_excess", settings.warmUpExcess, 0, 1000);
+    reader.real("fleet", "warm_up_slack", settings.warmUpSlack, 0, 1000000);
     if (auto budget = settings.viewBudget(); !budget)
         reader.addError(reader.line("fleet", "apply_ms"), "fleet", "apply_ms", budget.error().message);
     reader.rejectUnknownKeys();
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -204,6 +204,8 @@
     this->sessions->level = this->level;
     this->sessions->groups = std::make_shared<TargetGroups>(
         executor, this->platform.targetProtocol, this->freshness, this->settings.dataCentre);
+    this->sessions->groups->limitWarmUp(
+        { this->settings.name, this->settings.warmUpExcess, this->settings.warmUpSlack, this->freshness->maxAge() });
     this->sessions->reads = std::make_shared<ReadForwarder>(
         ReadForwarder::Parts { this->control.get_executor(), executor, this->link, this->view, this->settings.name });
     this->readService = std::make_shared<ReadService>(
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -30,8 +30,15 @@
 {
 }
 
+void TargetGroups::limitWarmUp(WarmUpLimit::Terms terms)
+{
+    this->warmUp = std::make_unique<WarmUpLimit>(std::move(terms));
+}
+
 void TargetGroups::refresh(const FleetView& view, TimePoint now)
 {
+    if (this->warmUp)
+        this->warmUp->recordView(view, this->freshness->isFresh(now), now);
     if (view.serial == this->viewSerial)
         return;
     this->viewSerial = view.serial;
@@ -84,24 +91,45 @@
 
 bool TargetGroups::mayUse(const FleetView& view, const TargetPool& pool) { return !view.isEvacuated(pool.target()); }
 
-std::optional<Placement> TargetGroups::placeWrite(
+// False if the member warms up and this instance's share of the statements to it is used up.
+bool TargetGroups::mayPlaceOn(const TargetPool& pool, TimePoint now) const
+{
+    return !this->warmUp || this->warmUp->allows(pool.target().id, now);
+}
+
+Placement TargetGroups::countPlacement(Placement placement, TimePoint now)
+{
+    if (this->warmUp)
+        this->warmUp->recordStatement(placement.pool->target().id, now);
+    return placement;
+}
+
+// The primary if a statement may be placed on it now.
+std::optional<Placement> TargetGroups::usablePrimary(
     const FleetView& view, const std::string& service, TimePoint now) const
 {
     auto primary = this->primaryInUse(view, service, now);
-    return primary && mayUse(view, *primary->pool) ? primary : std::nullopt;
+    bool usable = primary && mayUse(view, *primary->pool) && this->mayPlaceOn(*primary->pool, now);
+    return usable ? primary : std::nullopt;
+}
+
+std::optional<Placement> TargetGroups::placeWrite(const FleetView& view, const std::string& service, TimePoint now)
+{
+    auto primary = this->usablePrimary(view, service, now);
+    return primary ? std::optional(this->countPlacement(*primary, now)) : std::nullopt;
 }
 
-std::optional<Placement> TargetGroups::placeRead(const FleetView& view, const ReadRequirements& requirements,
-    const std::set<std::string>& tried, TimePoint now) const
+std::optional<Placement> TargetGroups::placeRead(
+    const FleetView& view, const ReadRequirements& requirements, const std::set<std::string>& tried, TimePoint now)
 {
-    auto primary = this->placeWrite(view, requirements.service, now);
+    auto primary = this->usablePrimary(view, requirements.service, now);
     std::optional<Position> minPosition;
     auto window = this->windows.find(requirements.service);
     if (requirements.consistency != ReadConsistency::Primary && window != this->windows.end())
         minPosition = window->second.covering(now - requirements.maxAge + positionAgeMargin);
     if (!minPosition) {
         bool usable = primary && !tried.count(primary->pool->target().id);
-        return usable ? primary : std::nullopt;
+        return usable ? std::optional(this->countPlacement(*primary, now)) : std::nullopt;
     }
     if (requirements.consistency == ReadConsistency::ReadYourWrites)
         minPosition = std::max(*minPosition, requirements.lastCommit);
@@ -112,7 +140,7 @@
     for (const TargetRecord& target : view.membersOf(requirements.service)) {
         bool isPrimary = primary && primary->pool->target().id == target.id;
         auto pool = this->poolOf(target.id);
-        if (!pool || target.draining || view.isEvacuated(target))
+        if (!pool || target.draining || view.isEvacuated(target) || !this->mayPlaceOn(*pool, now))
             continue;
         MemberLoad load = pool->load(requirements.workspace, now);
         load.isPrimary = isPrimary;
@@ -128,7 +156,7 @@
     if (!choice)
         return std::nullopt;
     bool isPrimary = loads[*choice].isPrimary;
-    return Placement { pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary };
+    return this->countPlacement({ pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary }, now);
 }
 
 SentRequest TargetGroups::requestTo(const FleetView& view, std::shared_ptr<TargetPool> pool, TimePoint now) const
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -6,6 +6,7 @@
 #include "libsession/position_window.h"
 #include "libsession/target_pool.h"
 #include "libsession/view_freshness.h"
+#include "libsession/warm_up_limit.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
@@ -63,15 +64,18 @@
     TargetGroups(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>, std::shared_ptr<ViewFreshness>,
         std::string dataCentre);
 
+    /// Bounds the statements to members that warm up. Without a call they are not bounded.
+    void limitWarmUp(WarmUpLimit::Terms);
     /// Creates, updates and closes pools to match the view, and starts the health of the primaries of new terms anew.
-    /// Does nothing if the view was applied already.
+    /// Does nothing of that if the view was applied already. Call it every few hundred milliseconds, for the bound on
+    /// members that warm up.
     void refresh(const FleetView&, TimePoint now);
     /// The member for a read, other than those in `tried` (member ids); std::nullopt if no member can serve it now.
     std::optional<Placement> placeRead(
-        const FleetView&, const ReadRequirements&, const std::set<std::string>& tried, TimePoint now) const;
-    /// The primary, for writes and transactions that may write. std::nullopt if there is none or if the view is too old
-    /// to confirm it.
-    std::optional<Placement> placeWrite(const FleetView&, const std::string& service, TimePoint now) const;
+        const FleetView&, const ReadRequirements&, const std::set<std::string>& tried, TimePoint now);
+    /// The primary, for writes and transactions that may write. std::nullopt if there is none, if the view is too old
+    /// to confirm it, or if nothing more may be sent to it now, because its data centre is evacuated or it warms up.
+    std::optional<Placement> placeWrite(const FleetView&, const std::string& service, TimePoint now);
 
     /// False if the member is in an evacuated data centre, so that nothing may be sent to it. To be asked again just
     /// before a statement is sent, because the view may have changed since the placement.
@@ -106,6 +110,9 @@
 
 private:
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
+    bool mayPlaceOn(const TargetPool&, TimePoint now) const;
+    Placement countPlacement(Placement, TimePoint now);
+    std::optional<Placement> usablePrimary(const FleetView&, const std::string& service, TimePoint now) const;
     std::optional<Placement> primaryInUse(const FleetView&, const std::string& service, TimePoint now) const;
 
     boost::asio::any_io_executor executor;
@@ -115,6 +122,8 @@
     // Makes the choice between equal members differ from other instances.
     std::uint64_t choiceSeed;
     std::set<std::string> gatewayServices;
+    // Null if the statements to members that warm up are not bounded.
+    std::unique_ptr<WarmUpLimit> warmUp;
     // Serial of the view that was applied last.
     std::uint64_t viewSerial = 0;
     std::map<std::string, std::shared_ptr<TargetPool>> poolById;
