--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -46,6 +46,10 @@
     std::uint32_t revocationMs = 5000;
     /// Time after a member's announcement that it is leaving, from which on no request may reach it, 1000 to 600000 ms.
     std::uint32_t memberDrainMs = 7000;
+    /// All instances together send a member that warms up at most `warmUpExcess` times the rate of its service and
+    /// `warmUpSlack` statements in any second. 0 to 1000, and 0 to 1000000.
+    double warmUpExcess = 1.5;
+    double warmUpSlack = 5;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 6;
 
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -215,6 +215,8 @@
     this->sessions->level = this->level;
     this->sessions->groups = std::make_shared<TargetGroups>(
         executor, this->platform.targetProtocol, this->freshness, this->settings.name, this->settings.dataCentre);
+    this->sessions->groups->limitWarmUp(
+        { this->settings.name, this->settings.warmUpExcess, this->settings.warmUpSlack, this->freshness->maxAge() });
     auto gateways = std::make_shared<GatewayChoice>();
     auto clocks = std::make_shared<GatewayClocks>();
     std::uint64_t run = static_cast<std::uint64_t>(std::random_device {}()) << 32 | std::random_device {}() | 1;
@@ -326,6 +328,8 @@
         this->mirror->values(), this->mirror->revision(), Clock::now(), this->freshness->confirmed());
     for (const std::string& fault : this->builder.takeFaults())
         writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
+    for (const EvacuationEvent& event : this->builder.takeEvacuationEvents())
+        logEvacuation(event);
     auto tables = next.tables;
     this->followOwnEntry(next);
     this->promoter->recordView(next, this->freshness->confirmed(), Clock::now());
@@ -511,6 +515,8 @@
             count(tokens.expiredMilliTokens) / milliPerToken, true },
         { "slots_held", "Slots held under a lease", count(this->slotKeeper->held().size()) },
         { "configuration", "Version of the configuration in force", count(this->activeTablesRevision) },
+        { "evacuated_data_centres", "Data centres that operators have evacuated",
+            count(this->view->read()->evacuated.size()) },
         { "view_age_milliseconds", "Age of the last confirmed view of the store",
             count(this->freshness->age(Clock::now()).count()) },
         { "primaries_replaced_total", "Primaries that this instance replaced", count(this->promoter->promotions()),
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -449,11 +449,11 @@
     return primary && primary->id == pool.target().id && this->context->freshness->isFresh(Clock::now());
 }
 
-// Checks the caller's permission and the primary again just before a statement is sent: either may have changed while
+// Checks the caller's permission, the member and the primary again just before a statement is sent: either may have changed while
 // the statement waited for a connection.
 bool SessionRunner::mayStillRun(const Placement& placement, const StatementCall& call) const
 {
-    if (!call.isAllowed())
+    if (!call.isAllowed() || !TargetGroups::mayUse(*this->context->view->read(), *placement.pool, Clock::now()))
         return false;
     return !placement.isPrimary || this->isPrimaryInUse(*placement.pool, call.route.pool);
 }
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -35,8 +35,15 @@
 {
 }
 
+void TargetGroups::limitWarmUp(WarmUpLimit::Terms terms)
+{
+    this->warmUp = std::make_unique<WarmUpLimit>(std::move(terms));
+}
+
 void TargetGroups::refresh(const FleetView& view, TimePoint now)
 {
+    if (this->warmUp)
+        this->warmUp->recordView(view, this->freshness->isFresh(now), now);
     if (view.serial == this->viewSerial)
         return;
     this->viewSerial = view.serial;
@@ -54,6 +61,8 @@
         if (!pool)
             pool = std::make_shared<TargetPool>(this->executor, this->protocol, target);
         pool->setTarget(target);
+        if (!mayUse(view, *pool, now))
+            pool->closeAll();
     }
     this->gatewayServices.clear();
     for (const auto& [service, pool] : view.tables->pools) {
@@ -89,27 +98,61 @@
     return found == this->poolById.end() ? nullptr : found->second;
 }
 
-std::optional<Placement> TargetGroups::placeWrite(
+// The primary that the view names, also if nothing may be sent to it: its replies to earlier statements still count.
+std::optional<Placement> TargetGroups::primaryInUse(
     const FleetView& view, const std::string& service, TimePoint now) const
 {
     auto primary = view.primaryOf(service);
     auto pool = primary ? this->poolOf(primary->id) : nullptr;
-    if (!pool || !this->freshness->isFresh(now) || !view.maySendTo(primary->id, now))
+    if (!pool || !this->freshness->isFresh(now))
         return std::nullopt;
     return Placement { pool, std::nullopt, true };
 }
 
-std::optional<Placement> TargetGroups::placeRead(const FleetView& view, const ReadRequirements& requirements,
-    const std::set<std::string>& tried, TimePoint now) const
+bool TargetGroups::mayUse(const FleetView& view, const TargetPool& pool, TimePoint now)
+{
+    return !view.isEvacuated(pool.target()) && view.maySendTo(pool.target().id, now);
+}
+
+// False if the member warms up and this instance's share of the statements to it is used up.
+bool TargetGroups::mayPlaceOn(const TargetPool& pool, TimePoint now) const
+{
+    return !this->warmUp || this->warmUp->allows(pool.target().id, now);
+}
+
+Placement TargetGroups::countPlacement(Placement placement, TimePoint now)
+{
+    if (this->warmUp)
+        this->warmUp->recordStatement(placement.pool->target().id, now);
+    return placement;
+}
+
+// The primary if a statement may be placed on it now.
+std::optional<Placement> TargetGroups::usablePrimary(
+    const FleetView& view, const std::string& service, TimePoint now) const
+{
+    auto primary = this->primaryInUse(view, service, now);
+    bool usable = primary && mayUse(view, *primary->pool, now) && this->mayPlaceOn(*primary->pool, now);
+    return usable ? primary : std::nullopt;
+}
+
+std::optional<Placement> TargetGroups::placeWrite(const FleetView& view, const std::string& service, TimePoint now)
+{
+    auto primary = this->usablePrimary(view, service, now);
+    return primary ? std::optional(this->countPlacement(*primary, now)) : std::nullopt;
+}
+
+std::optional<Placement> TargetGroups::placeRead(
+    const FleetView& view, const ReadRequirements& requirements, const std::set<std::string>& tried, TimePoint now)
 {
-    auto primary = this->placeWrite(view, requirements.service, now);
+    auto primary = this->usablePrimary(view, requirements.service, now);
     std::optional<Position> minPosition;
     auto window = this->windows.find(requirements.service);
     if (requirements.consistency != ReadConsistency::Primary && window != this->windows.end())
         minPosition = window->second.covering(now - requirements.maxAge + positionAgeMargin);
     if (!minPosition) {
         bool usable = primary && !tried.count(primary->pool->target().id);
-        return usable ? primary : std::nullopt;
+        return usable ? std::optional(this->countPlacement(*primary, now)) : std::nullopt;
     }
     if (requirements.consistency == ReadConsistency::ReadYourWrites)
         minPosition = std::max(*minPosition, requirements.lastCommit);
@@ -120,7 +163,7 @@
     for (const TargetRecord& target : view.membersOf(requirements.service)) {
         bool isPrimary = primary && primary->pool->target().id == target.id;
         auto pool = this->poolOf(target.id);
-        if (!pool || target.draining)
+        if (!pool || target.draining || view.isEvacuated(target) || !this->mayPlaceOn(*pool, now))
             continue;
         MemberLoad load = pool->load(requirements.workspace, now);
         load.isPrimary = isPrimary;
@@ -136,12 +179,12 @@
     if (!choice)
         return std::nullopt;
     bool isPrimary = loads[*choice].isPrimary;
-    return Placement { pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary };
+    return this->countPlacement({ pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary }, now);
 }
 
 SentRequest TargetGroups::requestTo(const FleetView& view, std::shared_ptr<TargetPool> pool, TimePoint now) const
 {
-    auto primary = this->placeWrite(view, pool->target().service, now);
+    auto primary = this->primaryInUse(view, pool->target().service, now);
     bool toPrimary = primary && primary->pool == pool;
     return { std::move(pool), now, toPrimary };
 }
@@ -150,7 +193,7 @@
     const FleetView& view, const SentRequest& request, const Position& position, TimePoint now)
 {
     const std::string& service = request.pool->target().service;
-    auto primary = this->placeWrite(view, service, now);
+    auto primary = this->primaryInUse(view, service, now);
     if (request.toPrimary && primary && primary->pool == request.pool)
         this->recordPrimaryPosition(service, position, request.sentAt);
 }
