Choose members by learned speeds in services that use gateways

A moving average over all kinds of work followed a slow member too slowly and took a member with long statements for a slow one.

--- a/src/libsession/member_choice.cpp
+++ b/src/libsession/member_choice.cpp
@@ -1,6 +1,6 @@
 #include "libsession/member_choice.h"
 
-#include <utility>
+#include <tuple>
 
 namespace catkinlock {
 
@@ -20,11 +20,11 @@
 
 } // namespace
 
-Milliseconds expectedTime(const MemberLoad& load)
+Duration expectedTime(const MemberLoad& load)
 {
     auto queued = static_cast<std::int64_t>(load.inFlight + 1 + (load.atSendLimit ? load.maxConcurrentStatements : 0));
-    Milliseconds time = load.averageResponseTime
-        + load.averageResponseTime * queued / static_cast<std::int64_t>(load.maxConcurrentStatements);
+    Duration time
+        = load.responseTime + load.responseTime * queued / static_cast<std::int64_t>(load.maxConcurrentStatements);
     if (!load.hasIdleConnection)
         time += handshakeTime;
     if (!load.sameDataCentre)
@@ -40,9 +40,16 @@
 
 namespace {
 
+    // A probe must not make the statement wait or fail where another member would serve it.
+    bool isProbe(const MemberLoad& load)
+    {
+        return load.needsProbe && !load.atSendLimit && !load.isSuspect && !load.seemsBehind;
+    }
+
     bool isPreferred(const MemberLoad& left, const MemberLoad& right)
     {
-        return std::pair(expectedTime(left), left.tieBreak) < std::pair(expectedTime(right), right.tieBreak);
+        return std::tuple(!isProbe(left), expectedTime(left), left.tieBreak)
+            < std::tuple(!isProbe(right), expectedTime(right), right.tieBreak);
     }
 
 } // namespace
--- a/src/libsession/member_choice.h
+++ b/src/libsession/member_choice.h
@@ -17,8 +17,10 @@
     std::size_t inFlight = 0;
     /// Maximum number of statements that the member runs concurrently, at least 1.
     std::size_t maxConcurrentStatements = 1;
-    /// Moving average of the response time of statements at the member.
-    Milliseconds averageResponseTime { 20 };
+    /// Mean response time of such a statement at the member, without a wait for a free place.
+    Duration responseTime = Milliseconds(20);
+    /// The statement is needed to learn how fast the member is.
+    bool needsProbe = false;
     bool isPrimary = false;
     /// The member is in the data centre of this instance.
     bool sameDataCentre = false;
@@ -40,10 +42,10 @@
 };
 
 /// Estimated time until the member replies, with penalties for members to be avoided. For comparison only.
-Milliseconds expectedTime(const MemberLoad&);
+Duration expectedTime(const MemberLoad&);
 
-/// Index of the member with the least expected time, and among equal ones with the least `tieBreak`; std::nullopt if
-/// the list is empty or every member was tried.
+/// Index of a member that needs a probe and can run the statement at once; else of the member with the least expected
+/// time, and among equal ones with the least `tieBreak`. std::nullopt if the list is empty or every member was tried.
 std::optional<std::size_t> chooseMember(const std::vector<MemberLoad>&);
 
 } // namespace catkinlock
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -150,6 +150,13 @@
     return found != this->prepared.end() && found->second.writes;
 }
 
+WorkKind SessionRunner::workKind(const SessionStatement& statement, const Route& route) const
+{
+    if (statement.kind == StatementKind::Commit)
+        return workKindOf(route, WorkKind::Access::Commit);
+    return workKindOf(route, this->writes(statement) ? WorkKind::Access::Write : WorkKind::Access::Read);
+}
+
 // Name under which a prepared statement is known on a connection. Connections are shared by sessions, and two callers
 // may use one name for different statements, so the name is a hash of the statement's text.
 std::string SessionRunner::preparedNameFor(const SessionStatement& statement) const
@@ -166,6 +173,7 @@
     requirements.workspace = call.workspace;
     requirements.consistency = call.route.consistency;
     requirements.maxAge = Milliseconds(call.route.maxAgeMs);
+    requirements.work = workKindOf(call.route, WorkKind::Access::Read);
     auto lastCommit = this->committedPositions.find(call.route.pool);
     if (lastCommit != this->committedPositions.end())
         requirements.lastCommit = lastCommit->second;
@@ -470,8 +478,10 @@
     auto reply = co_await link->send(statement, placement.after, preparedName, deadline);
     TimePoint now = Clock::now();
     this->operationMayHaveRun = this->operationMayHaveRun || !reply || !reply->error || !isNotRun(*reply->error);
+    WorkKind work = this->workKind(statement, call.route);
     if (!reply) {
         pool->recordFailure(sentAt, wrote, now);
+        pool->recordSpeed(work, now - sentAt, true, now);
         attempt.outcome = Attempt::AttemptOutcome::ReplyLost;
         attempt.reply.errorText = reply.error().message;
         co_return attempt;
@@ -480,6 +490,7 @@
     if (!reply->error && reply->signature.empty()) {
         link->close();
         pool->recordFailure(sentAt, wrote, now);
+        pool->recordSpeed(work, now - sentAt, true, now);
         attempt.outcome = Attempt::AttemptOutcome::ReplyLost;
         attempt.reply.errorText = "the member's reply has no signature; the connection was closed";
         co_return attempt;
@@ -496,6 +507,10 @@
         co_return attempt;
     }
     pool->recordReply(now - sentAt, wrote && done, attempt.reply.position, now);
+    // Callers' own errors meet all members alike, except those of writes, which only the primary runs.
+    bool failed = !done && (attempt.reply.error != StatementError::Failed || work.access == WorkKind::Access::Read);
+    if (!notRun)
+        pool->recordSpeed(work, now - sentAt, failed, now);
     // A refusal for want of capacity also carries the primary's position. An overloaded primary sends little else, so
     // without these replies the position would be missing just then.
     if (done || attempt.reply.error == StatementError::Busy)
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -118,6 +118,7 @@
     TargetReply refuse(StatementError, std::string text) const;
     TargetReply failTransaction(StatementError, std::string text);
     bool writes(const SessionStatement&) const;
+    WorkKind workKind(const SessionStatement&, const Route&) const;
     std::string preparedNameFor(const SessionStatement&) const;
     ReadRequirements readRequirements(const StatementCall&) const;
 
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -2,6 +2,7 @@
 
 #include "catkinlock/rendezvous.h"
 #include "libsession/gateway_choice.h"
+#include "libsession/member_speed.h"
 #include "libsession/target_link.h"
 #include <algorithm>
 #include <random>
@@ -60,6 +61,7 @@
         if (needsGateways(pool.databases.front().connections, instances))
             this->gatewayServices.insert(service);
         this->shareConnections(view, service, pool.databases.front().connections);
+        this->shareSpeed(view, service);
         if (auto primary = view.primaryOf(service))
             this->poolById[primary->id]->beginTerm(view.termOf(service), now);
     }
@@ -83,6 +85,24 @@
     }
 }
 
+// Compares the members of a service that uses gateways by their speeds. In others an instance sees too few statements
+// of a member.
+void TargetGroups::shareSpeed(const FleetView& view, const std::string& service)
+{
+    if (!this->usesGateways(service))
+        this->speeds.erase(service);
+    std::shared_ptr<MemberSpeed> speed;
+    if (this->usesGateways(service)) {
+        auto& entry = this->speeds[service];
+        if (!entry)
+            entry = std::make_shared<MemberSpeed>();
+        speed = entry;
+        speed->keepOnly(view.targets.idsOf(service));
+    }
+    for (const std::string& id : view.targets.idsOf(service))
+        this->poolById[id]->setSpeed(speed);
+}
+
 std::shared_ptr<TargetPool> TargetGroups::poolOf(const std::string& id) const
 {
     auto found = this->poolById.find(id);
@@ -122,7 +142,7 @@
         auto pool = this->poolOf(target.id);
         if (!pool || target.draining)
             continue;
-        MemberLoad load = pool->load(requirements.workspace, now);
+        MemberLoad load = pool->load(requirements.workspace, requirements.work, now);
         load.isPrimary = isPrimary;
         load.sameDataCentre = target.dataCentre == this->dataCentre;
         load.wasTried = tried.count(target.id) != 0;
@@ -135,6 +155,7 @@
     auto choice = chooseMember(loads);
     if (!choice)
         return std::nullopt;
+    pools[*choice]->recordSent(now);
     bool isPrimary = loads[*choice].isPrimary;
     return Placement { pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary };
 }
@@ -143,6 +164,7 @@
 {
     auto primary = this->placeWrite(view, pool->target().service, now);
     bool toPrimary = primary && primary->pool == pool;
+    pool->recordSent(now);
     return { std::move(pool), now, toPrimary };
 }
 
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -6,6 +6,7 @@
 #include "libsession/position_window.h"
 #include "libsession/target_pool.h"
 #include "libsession/view_freshness.h"
+#include "libsession/work_kind.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <map>
 #include <memory>
@@ -41,6 +42,7 @@
     Milliseconds maxAge { 0 };
     /// Position of the session's last commit; term 0 if it made none.
     Position lastCommit;
+    WorkKind work;
 };
 
 /// Latest position of each group's primary, by service.
@@ -103,6 +105,7 @@
 
 private:
     void shareConnections(const FleetView&, const std::string& service, std::size_t connections);
+    void shareSpeed(const FleetView&, const std::string& service);
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
 
     boost::asio::any_io_executor executor;
@@ -113,6 +116,8 @@
     // Makes the choice between equal members differ from other instances.
     std::uint64_t choiceSeed;
     std::set<std::string> gatewayServices;
+    // Speeds of the members of these services, by service.
+    std::map<std::string, std::shared_ptr<MemberSpeed>> speeds;
     // Serial of the view that was applied last.
     std::uint64_t viewSerial = 0;
     std::map<std::string, std::shared_ptr<TargetPool>> poolById;
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "libsession/target_pool.h"
 
+#include "libsession/member_speed.h"
 #include "libsession/spawn.h"
 #include "libsession/target_link.h"
 #include <algorithm>
@@ -386,13 +387,33 @@
 
 void TargetPool::closeAll() { this->dropIdleBeyond(0); }
 
-MemberLoad TargetPool::load(const std::string& workspace, TimePoint now) const
+void TargetPool::recordSpeed(const WorkKind& kind, Duration took, bool failed, TimePoint now)
+{
+    if (!this->speed)
+        return;
+    if (failed)
+        this->speed->recordFailure(this->record.id, kind, took, now);
+    else
+        this->speed->recordReply(this->record.id, kind, took, now);
+}
+
+void TargetPool::recordSent(TimePoint now)
+{
+    if (this->speed)
+        this->speed->recordSent(this->record.id, now);
+}
+
+MemberLoad TargetPool::load(const std::string& workspace, const WorkKind& kind, TimePoint now) const
 {
     MemberLoad load;
     load.id = this->record.id;
     load.inFlight = this->inUse() + this->waiters.size();
     load.maxConcurrentStatements = this->record.maxConcurrentStatements;
-    load.averageResponseTime = Milliseconds(static_cast<std::int64_t>(this->averageResponseTimeMs));
+    load.responseTime = Milliseconds(static_cast<std::int64_t>(this->averageResponseTimeMs));
+    if (this->speed) {
+        load.responseTime = this->speed->expectedTime(this->record.id, kind).value_or(MemberLoad {}.responseTime);
+        load.needsProbe = this->speed->needsProbe(this->record.id, now);
+    }
     load.hasIdleConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const IdleLink& item) { return item.link->workspace() == workspace; });
     load.atSendLimit = !this->hasCapacity() || (!load.hasIdleConnection && this->inUse() >= this->connectionLimit());
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -6,6 +6,7 @@
 #include "libsession/health_recorder.h"
 #include "libsession/member_choice.h"
 #include "libsession/send_window.h"
+#include "libsession/work_kind.h"
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +19,7 @@
 
 namespace catkinlock {
 
+class MemberSpeed;
 class TargetLink;
 class TargetProtocol;
 struct LinkFailure;
@@ -49,6 +51,11 @@
     /// Records a reply to a statement that was sent `took` ago, and the member's position in it. `wrote`: the statement
     /// was a write or a commit of writes, and succeeded.
     void recordReply(Duration took, bool wrote, const Position&, TimePoint now);
+    /// Records for the choice of a member that a statement of this kind succeeded or failed there after `took`, or had
+    /// no reply. Not for statements that the member refused.
+    void recordSpeed(const WorkKind&, Duration took, bool failed, TimePoint now);
+    /// Records for the choice of a member that a statement is being sent there.
+    void recordSent(TimePoint now);
     /// Records that the member refused a statement for want of capacity.
     void recordBusy() { this->window.recordRefusal(); }
     /// Records that a transaction holds a connection without running a statement on it, or with `becomesIdle` false
@@ -78,6 +85,9 @@
     /// The same for a gateway of the member's service. The gateways' shares add up to no more than the member accepts,
     /// so that none opens more than its share or closes connections that may be used again.
     void setGatewayShare(std::size_t connections);
+    /// Sets what is known of the speeds of the service's members. Null: the moving average of the response times
+    /// counts.
+    void setSpeed(std::shared_ptr<MemberSpeed> next) { this->speed = std::move(next); }
     void setTarget(const TargetRecord&);
     /// The group's record names the member as the serving primary of `term`. Its health starts anew if it belonged to
     /// another term.
@@ -88,7 +98,7 @@
     void closeAll();
 
     /// The member's load for a statement of `workspace`, for the choice of a member.
-    MemberLoad load(const std::string& workspace, TimePoint now) const;
+    MemberLoad load(const std::string& workspace, const WorkKind&, TimePoint now) const;
     const MemberHealth& health() const { return this->recorder.health(); }
     /// The member's position in the last reply that had one.
     const Position& lastPosition() const { return this->position; }
@@ -154,6 +164,7 @@
     Position position;
     // Moving average of the response time of statements at the member.
     double averageResponseTimeMs = 20;
+    std::shared_ptr<MemberSpeed> speed;
     SendWindow window;
     // Lent connections whose transaction is not running a statement.
     std::size_t idleInTransaction = 0;
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -145,7 +145,7 @@
     tables.pools["orders"].databases.resize(1);
     view.tables = std::make_shared<const Tables>(tables);
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(2000));
-    TargetGroups groups(fixture.context.get_executor(), fixture.protocol, freshness, "here");
+    TargetGroups groups(fixture.context.get_executor(), fixture.protocol, freshness, "i", "here");
     auto show = [&](std::optional<GroupRecord> record) {
         ++view.serial;
         view.groups.clear();
@@ -176,7 +176,7 @@
     TimePoint now = Clock::now();
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(2000));
     freshness->confirm(now);
-    TargetGroups groups(fixture.context.get_executor(), fixture.protocol, freshness, "here");
+    TargetGroups groups(fixture.context.get_executor(), fixture.protocol, freshness, "i", "here");
     view.serial = 1;
     view.groups["orders"] = { GroupRecord::State::Serving, "n", 1 };
     groups.refresh(view, now);
