A gateway's pool keeps the connections of its share, without a separate rule

Connections kept by `keep` were closed after 2 s, those of the share after 30 s; the shares of the gateways make the former needless.

--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -81,7 +81,6 @@
 {
     this->memberId.clear();
     this->attempts = 0;
-    this->keepsConnection = this->adopted;
 }
 
 // Tells the pool whether the transaction's connection is in use by a statement. Between its statements a transaction
@@ -310,7 +309,6 @@
 void SessionRunner::adopt(const ForwardedCall& call, bool preparedWrites)
 {
     this->adopted = true;
-    this->keepsConnection = true;
     this->values = call.values;
     if (call.lastCommit.term)
         this->committedPositions[call.route.pool] = call.lastCommit;
@@ -356,7 +354,6 @@
         answer = co_await this->gateway.read(std::move(described), call.deadline, std::move(late));
     if (!answer) {
         bool lost = answer.error() == ForwardFailure::ReplyLost;
-        this->keepsConnection = answer.error() == ForwardFailure::OwnGateway;
         this->operationMayHaveRun = lost;
         this->operationMayHaveWritten = lost && wrote;
         if (lost && wrote)
@@ -570,10 +567,7 @@
         attempt = co_await this->exchange(*link, placement, statement, call, deadline);
     }
     this->logFailedAttempt(attempt, statement, placement.after);
-    if (this->keepsConnection && (*link)->isOpen() && (*link)->state() == TransactionState::Idle)
-        placement.pool->keep(*link);
-    else
-        rollBackAndRelease(this->context->executor, placement.pool, *link);
+    rollBackAndRelease(this->context->executor, placement.pool, *link);
     attempt.reply.state = TransactionState::Idle;
     co_return attempt;
 }
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -162,8 +162,6 @@
     bool operationMayHaveWritten = false;
     // True if the session is another instance's.
     bool adopted = false;
-    // True if the statement is a read for which this instance is the gateway, so that its connection is kept.
-    bool keepsConnection = false;
 };
 
 } // namespace catkinlock
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -24,8 +24,6 @@
     // The same if there are more instances than connections, since all of them together must leave the member free
     // ones.
     constexpr Milliseconds scarceIdleLifetime { 200 };
-    // Idle connections that an instance keeps as a gateway.
-    constexpr std::size_t maxKept = 4;
     // A busy instance may open this many times its share while the member accepts connections.
     constexpr std::size_t maxShares = 3;
     // The pool stays within its share for this time after the member refused a connection at its limit.
@@ -86,10 +84,7 @@
 
 bool TargetPool::isConnectionLimited() const { return Clock::now() < this->connectionLimitedUntil; }
 
-std::size_t TargetPool::connectionLimit() const
-{
-    return this->isConnectionLimited() ? this->share : this->maxOpen + this->keptCount();
-}
+std::size_t TargetPool::connectionLimit() const { return this->isConnectionLimited() ? this->share : this->maxOpen; }
 
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
 {
@@ -105,20 +100,10 @@
     return nullptr;
 }
 
-std::size_t TargetPool::keptCount() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return item.kept; }));
-}
-
-// Closes the oldest idle connection, and one that is kept only if there is no other.
 void TargetPool::dropOldestIdle()
 {
-    auto oldest = std::find_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return !item.kept; });
-    if (oldest == this->idle.end())
-        oldest = this->idle.begin();
-    oldest->link->close();
-    this->idle.erase(oldest);
+    this->idle.front().link->close();
+    this->idle.pop_front();
     --this->connectionCount;
 }
 
@@ -283,14 +268,6 @@
     this->recordClosed();
 }
 
-void TargetPool::keep(std::shared_ptr<TargetLink> link)
-{
-    if (!link->isOpen() || link->state() != TransactionState::Idle || this->keptCount() >= maxKept)
-        return this->release(std::move(link));
-    this->recordReturned(link->workspace());
-    this->makeAvailable(std::move(link), true);
-}
-
 void TargetPool::recordReturned(const std::string& workspace)
 {
     auto found = this->inUseByWorkspace.find(workspace);
@@ -298,7 +275,7 @@
         this->inUseByWorkspace.erase(found);
 }
 
-void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link, bool kept)
+void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link)
 {
     if (this->hasCapacity()) {
         if (auto waiter = this->takeWaiter(link->workspace())) {
@@ -308,11 +285,11 @@
             return;
         }
     }
-    this->idle.push_back({ std::move(link), Clock::now(), kept });
+    this->idle.push_back({ std::move(link), Clock::now() });
     // The member is at its connection limit, so unused connections are closed to let other instances connect.
     if (this->isConnectionLimited())
         this->dropIdleBeyond(0);
-    while (!this->idle.empty() && this->connectionCount > this->share + this->keptCount())
+    while (!this->idle.empty() && this->connectionCount > this->share)
         this->dropOldestIdle();
     this->serveNext();
 }
@@ -365,17 +342,10 @@
     this->recorder.recordFailure(sentAt, lostWrite, now);
 }
 
-Milliseconds TargetPool::lifetimeOf(const IdleLink& item) const
-{
-    if (item.kept)
-        return surplusIdleLifetime;
-    return this->idle.size() > this->maxIdle ? this->surplusLifetime : idleLifetime;
-}
-
 void TargetPool::closeIdle(TimePoint now)
 {
     for (auto item = this->idle.begin(); item != this->idle.end();) {
-        if (now - item->since < this->lifetimeOf(*item)) {
+        if (now - item->since < (this->idle.size() > this->maxIdle ? this->surplusLifetime : idleLifetime)) {
             ++item;
             continue;
         }
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -44,9 +44,6 @@
     /// Returns a connection to the pool. It is discarded if it is closed or in a transaction (open or failed), or if
     /// the pool has more connections than it may have now.
     void release(std::shared_ptr<TargetLink>);
-    /// Returns a connection that this instance keeps for the workspace's reads, as their gateway. A few of them stay
-    /// idle beyond the share, for the time of other surplus connections.
-    void keep(std::shared_ptr<TargetLink>);
 
     /// Records a reply to a statement that was sent `took` ago, and the member's position in it. `wrote`: the statement
     /// was a write or a commit of writes, and succeeded.
@@ -116,8 +113,6 @@
     struct IdleLink {
         std::shared_ptr<TargetLink> link;
         TimePoint since;
-        // Kept as a gateway.
-        bool kept = false;
     };
     struct Waiter;
 
@@ -131,9 +126,7 @@
     void startOpening(const std::string& workspace);
     void recordReturned(const std::string& workspace);
     std::size_t connectionLimit() const;
-    void makeAvailable(std::shared_ptr<TargetLink>, bool kept = false);
-    std::size_t keptCount() const;
-    Milliseconds lifetimeOf(const IdleLink&) const;
+    void makeAvailable(std::shared_ptr<TargetLink>);
     std::shared_ptr<Waiter> takeWaiter(const std::string& workspace);
     std::shared_ptr<TargetLink> takeIdle(const std::string& workspace);
     void dropOldestIdle();
