Gateways divide the places at a member by demand

The send windows of many instances exceeded the few statements that a member runs. The gateways of a service now report their demand to each other every 100 ms (MemberDemand) and divide the member's concurrency limit; services without gateways keep the send window.

--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -247,6 +247,7 @@
     case wire::Envelope::kStatementRequest:
     case wire::Envelope::kStatementReply:
     case wire::Envelope::kTransactionEnd:
+    case wire::Envelope::kMemberDemand:
     // A message of a kind that this release does not know has no body.
     case wire::Envelope::BODY_NOT_SET:
         return;
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -12,6 +12,7 @@
 #include "libserver/service_level.h"
 #include "libserver/slot_keeper.h"
 #include "libsession/awaited_revisions.h"
+#include "libsession/demand_exchange.h"
 #include "libsession/drain_schedule.h"
 #include "libsession/gateway_clocks.h"
 #include "libsession/membership_keeper.h"
@@ -117,6 +118,8 @@
     void reportTraffic(TimePoint now);
     asio::awaitable<void> runMaintenance();
     asio::awaitable<void> runRequestMaintenance();
+    asio::awaitable<void> reportDemand();
+    void receiveDemand(const std::string& sender, const wire::MemberDemand&);
     asio::awaitable<void> handleSignals();
     asio::awaitable<void> pollSettings();
     void reload(const char* cause);
@@ -138,6 +141,8 @@
     ViewBuilder builder;
     std::shared_ptr<ViewRelay> relay;
     std::unique_ptr<PositionExchange> positions;
+    // Request thread only.
+    DemandExchange demandExchange;
     std::shared_ptr<StoreMirror> mirror;
     std::shared_ptr<Membership> membership;
     std::shared_ptr<PeerLink> link;
@@ -290,6 +295,7 @@
     spawn(this->control, [this] { return this->runMaintenance(); });
     spawn(this->control, [this] { return this->learnFromPeers(); });
     spawn(this->requests, [this] { return this->runRequestMaintenance(); });
+    spawn(this->requests, [this] { return this->reportDemand(); });
     spawn(this->control, [this] { return this->handleSignals(); });
     spawn(this->control, [this] { return this->pollSettings(); });
     this->requestThread = std::thread([this] {
@@ -451,6 +457,8 @@
         return this->sessions->statementForwarder->receiveReply(sender, envelope.statement_reply());
     case wire::Envelope::kTransactionEnd:
         return this->statementService->receiveEnd(sender, envelope.transaction_end().transaction());
+    case wire::Envelope::kMemberDemand:
+        return this->receiveDemand(sender, envelope.member_demand());
     case wire::Envelope::kViewQuery:
         this->awaitedRevisions.record(sender, envelope.view_query().revision());
         return this->reportRevision();
@@ -592,6 +600,34 @@
     }
 }
 
+// Tells the other gateways of this instance's services how many statements it has at their members.
+asio::awaitable<void> FrontInstance::Parts::reportDemand()
+{
+    asio::steady_timer timer(this->requests);
+    for (;;) {
+        timer.expires_after(DemandExchange::interval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        TimePoint now = Clock::now();
+        auto reports = this->demandExchange.due(this->sessions->groups->demands(now), toClockMs(now));
+        if (reports.empty())
+            continue;
+        asio::post(this->control, [this, reports = std::move(reports)] {
+            for (const auto& [address, report] : reports) {
+                wire::Envelope envelope;
+                writeDemand(report, *envelope.mutable_member_demand());
+                this->link->send(address, envelope);
+            }
+        });
+    }
+}
+
+void FrontInstance::Parts::receiveDemand(const std::string& sender, const wire::MemberDemand& message)
+{
+    asio::post(this->requests, [groups = this->sessions->groups, sender, report = readDemand(message)] {
+        groups->recordDemand(sender, report, Clock::now());
+    });
+}
+
 void FrontInstance::Parts::queryPositions()
 {
     auto current = this->view->read();
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -498,7 +498,7 @@
     bool done = !attempt.reply.error;
     this->context->groups->recordMemberPosition(*pool, attempt.reply.position, now);
     if (attempt.reply.error == StatementError::Busy)
-        pool->recordBusy();
+        pool->recordBusy(now);
     if (attempt.reply.error == StatementError::Lagging) {
         pool->recordLagging(placement.after.value_or(Position {}), attempt.reply.position, now);
         co_return attempt;
@@ -675,7 +675,7 @@
     TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
     while (stateApplied && reply && reply->error == StatementError::Busy && Clock::now() + busyRetryDelay < waitUntil
         && this->mayStillRun(placement, call)) {
-        placement.pool->recordBusy();
+        placement.pool->recordBusy(Clock::now());
         co_await this->sleepFor(busyRetryDelay);
         sentAt = Clock::now();
         reply = co_await link->command(begin, placement.after, call.deadline);
@@ -690,6 +690,7 @@
             = fmt::format("the member refused to start the transaction: {}", statementErrorName(*reply->error));
         co_return false;
     }
+    placement.pool->recordExchange(Clock::now() - sentAt, Clock::now());
     this->transaction.service = call.route.pool;
     this->transaction.pool = placement.pool;
     this->transaction.link = link;
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -57,10 +57,11 @@
         pool->setTarget(target);
     }
     this->gatewayServices.clear();
+    this->gatewayPeers.clear();
     for (const auto& [service, pool] : view.tables->pools) {
         if (needsGateways(pool.databases.front().connections, instances))
             this->gatewayServices.insert(service);
-        this->shareConnections(view, service, pool.databases.front().connections);
+        this->shareConnections(view, service, pool.databases.front().connections, now);
         this->shareSpeed(view, service);
         if (auto primary = view.primaryOf(service))
             this->poolById[primary->id]->beginTerm(view.termOf(service), now);
@@ -69,19 +70,69 @@
 
 // Divides the connections that each member of a service accepts: among its gateways if it has them, else among all
 // instances.
-void TargetGroups::shareConnections(const FleetView& view, const std::string& service, std::size_t connections)
+void TargetGroups::shareConnections(
+    const FleetView& view, const std::string& service, std::size_t connections, TimePoint now)
 {
     std::size_t available = connections - std::min(connections, reservedConnections);
-    std::vector<std::string> gateways;
-    if (this->usesGateways(service))
-        gateways = gatewaysOf(view, service);
-    bool isGateway = std::count(gateways.begin(), gateways.end(), this->instance) != 0;
+    auto gatewayShare = this->gatewayShare(view, service, available);
+    if (gatewayShare)
+        this->gatewayPeers[service] = gatewayShare->peers;
+    std::size_t share = this->usesGateways(service) ? 0 : available / std::max<std::size_t>(view.instances.size(), 1);
     for (const std::string& id : view.targets.idsOf(service)) {
         TargetPool& pool = *this->poolById[id];
-        if (isGateway)
-            pool.setGatewayShare(static_cast<std::size_t>(available * gatewayFraction) / gateways.size());
+        if (gatewayShare)
+            pool.setGatewayShare(*gatewayShare, now);
         else
-            pool.setShare(gateways.empty() ? available / std::max<std::size_t>(view.instances.size(), 1) : 0);
+            pool.setShare(share);
+    }
+}
+
+// This instance's share of the connections as a gateway of the service; std::nullopt if it is none.
+std::optional<GatewayShare> TargetGroups::gatewayShare(
+    const FleetView& view, const std::string& service, std::size_t connections) const
+{
+    if (!this->usesGateways(service))
+        return std::nullopt;
+    std::vector<std::string> gateways = gatewaysOf(view, service);
+    if (!std::count(gateways.begin(), gateways.end(), this->instance))
+        return std::nullopt;
+    GatewayShare share;
+    share.connections = static_cast<std::size_t>(connections * gatewayFraction) / gateways.size();
+    for (const std::string& gateway : gateways) {
+        const std::string& address = view.instances.at(gateway).peerAddress;
+        if (gateway == this->instance)
+            share.self = address;
+        else
+            share.peers.push_back(address);
+    }
+    return share;
+}
+
+std::vector<ServiceDemand> TargetGroups::demands(TimePoint now) const
+{
+    std::vector<ServiceDemand> demands;
+    demands.reserve(this->gatewayPeers.size());
+    for (const auto& [service, peers] : this->gatewayPeers) {
+        demands.push_back({ peers, {} });
+        for (const auto& [id, pool] : this->poolById) {
+            if (pool->target().service == service)
+                demands.back().members.push_back(pool->demand(now));
+        }
+    }
+    return demands;
+}
+
+void TargetGroups::recordDemand(const std::string& sender, const DemandReport& report, TimePoint now)
+{
+    for (const auto& [id, pool] : this->poolById) {
+        if (!pool->isGateway())
+            continue;
+        MemberDemand demand;
+        demand.member = pool->demand(now).member;
+        auto reported = std::find_if(report.members.begin(), report.members.end(),
+            [&demand](const MemberDemand& each) { return each.member == demand.member; });
+        pool->recordDemand(sender, report.sentAtMs, reported == report.members.end() ? demand : *reported, now);
+        pool->serveWaiting();
     }
 }
 
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -3,6 +3,7 @@
 #include "catkinlock/position.h"
 #include "catkinlock/tables.h"
 #include "libsession/fleet_view.h"
+#include "libsession/member_demand.h"
 #include "libsession/position_window.h"
 #include "libsession/target_pool.h"
 #include "libsession/view_freshness.h"
@@ -98,13 +99,19 @@
     std::vector<MemberObservation> observations() const;
     /// True if reads of the service go through gateways, because there are too few connections for all instances.
     bool usesGateways(const std::string& service) const { return this->gatewayServices.count(service) != 0; }
+    /// The demand of this instance at the members of the services that it is a gateway of.
+    std::vector<ServiceDemand> demands(TimePoint now) const;
+    /// Records the demand that another gateway reported. `sender`: its address.
+    void recordDemand(const std::string& sender, const DemandReport&, TimePoint now);
     /// Closes connections that have been idle for long. To be called periodically.
     void runMaintenance(TimePoint now);
     void closeAll();
     const std::map<std::string, std::shared_ptr<TargetPool>>& pools() const { return this->poolById; }
 
 private:
-    void shareConnections(const FleetView&, const std::string& service, std::size_t connections);
+    void shareConnections(const FleetView&, const std::string& service, std::size_t connections, TimePoint now);
+    std::optional<GatewayShare> gatewayShare(
+        const FleetView&, const std::string& service, std::size_t connections) const;
     void shareSpeed(const FleetView&, const std::string& service);
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
 
@@ -116,6 +123,8 @@
     // Makes the choice between equal members differ from other instances.
     std::uint64_t choiceSeed;
     std::set<std::string> gatewayServices;
+    // Addresses of the other gateways of the services that this instance is a gateway of, by service.
+    std::map<std::string, std::vector<std::string>> gatewayPeers;
     // Speeds of the members of these services, by service.
     std::map<std::string, std::shared_ptr<MemberSpeed>> speeds;
     // Serial of the view that was applied last.
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -61,6 +61,7 @@
     : executor(std::move(executor))
     , protocol(std::move(protocol))
     , record(std::move(record))
+    , key(memberKey(this->record.id))
 {
 }
 
@@ -72,11 +73,15 @@
     this->maxOpen = this->share * maxShares;
     this->maxIdle = connections / 2;
     this->surplusLifetime = connections ? surplusIdleLifetime : scarceIdleLifetime;
+    this->demandShare.reset();
 }
 
-void TargetPool::setGatewayShare(std::size_t connections)
+void TargetPool::setGatewayShare(const GatewayShare& given, TimePoint now)
 {
-    this->share = std::max<std::size_t>(connections, 1);
+    if (!this->demandShare)
+        this->demandShare.emplace();
+    this->demandShare->setGateways(given.self, given.peers, now);
+    this->share = std::max<std::size_t>(given.connections, 1);
     this->maxOpen = this->share;
     this->maxIdle = this->share;
     this->surplusLifetime = surplusIdleLifetime;
@@ -233,7 +238,44 @@
     this->serveNext();
 }
 
-bool TargetPool::hasCapacity() const { return this->inUse() < this->window.size() + this->idleInTransaction; }
+bool TargetPool::hasCapacity() const { return this->inUse() < this->places(Clock::now()) + this->idleInTransaction; }
+
+std::size_t TargetPool::places(TimePoint now) const
+{
+    if (!this->demandShare)
+        return this->window.size();
+    MemberDemand own = this->demand(now);
+    // The share is asked for on behalf of another statement.
+    own.waiting = std::max(own.waiting, 1u);
+    return this->demandShare->places(this->record.maxConcurrentStatements, own, now);
+}
+
+MemberDemand TargetPool::demand(TimePoint now) const
+{
+    constexpr double percent = 100;
+    MemberDemand demand;
+    demand.member = this->key;
+    demand.running = static_cast<std::uint32_t>(this->inUse() - std::min(this->inUse(), this->idleInTransaction));
+    demand.waiting = static_cast<std::uint32_t>(this->waiters.size());
+    demand.stretchPercent = static_cast<std::uint32_t>(this->limit.stretch(now) * percent);
+    return demand;
+}
+
+void TargetPool::recordDemand(
+    const std::string& sender, std::int64_t sentAtMs, const MemberDemand& reported, TimePoint now)
+{
+    if (this->demandShare)
+        this->demandShare->recordReport(sender, sentAtMs, reported, now);
+}
+
+void TargetPool::serveWaiting()
+{
+    std::size_t waitingBefore = 0;
+    do {
+        waitingBefore = this->waiters.size();
+        this->serveNext();
+    } while (this->waiters.size() < waitingBefore);
+}
 
 void TargetPool::recordIdleInTransaction(bool becomesIdle)
 {
@@ -362,9 +404,15 @@
     if (!this->speed)
         return;
     if (failed)
-        this->speed->recordFailure(this->record.id, kind, took, now);
-    else
-        this->speed->recordReply(this->record.id, kind, took, now);
+        return this->speed->recordFailure(this->record.id, kind, took, now);
+    this->speed->recordReply(this->record.id, kind, took, now);
+    this->limit.recordReply(took, now);
+}
+
+void TargetPool::recordBusy(TimePoint now)
+{
+    this->window.recordRefusal();
+    this->limit.recordBusy(now);
 }
 
 void TargetPool::recordSent(TimePoint now)
@@ -384,6 +432,10 @@
         load.responseTime = this->speed->expectedTime(this->record.id, kind).value_or(MemberLoad {}.responseTime);
         load.needsProbe = this->speed->needsProbe(this->record.id, now);
     }
+    if (this->demandShare) {
+        load.inFlight -= std::min(load.inFlight, this->idleInTransaction);
+        load.maxConcurrentStatements = this->places(now);
+    }
     load.hasIdleConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const IdleLink& item) { return item.link->workspace() == workspace; });
     load.atSendLimit = !this->hasCapacity() || (!load.hasIdleConnection && this->inUse() >= this->connectionLimit());
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -3,6 +3,8 @@
 #include "catkinlock/clock.h"
 #include "catkinlock/target_message.h"
 #include "catkinlock/target_record.h"
+#include "libsession/concurrency_limit.h"
+#include "libsession/demand_share.h"
 #include "libsession/health_recorder.h"
 #include "libsession/member_choice.h"
 #include "libsession/send_window.h"
@@ -14,8 +16,10 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 namespace catkinlock {
 
@@ -30,6 +34,14 @@
     TimePoint observedAt;
 };
 
+/// What a gateway of a member's service may use of the member.
+struct GatewayShare {
+    std::size_t connections = 0;
+    /// Addresses of this instance and of the service's other gateways.
+    std::string self;
+    std::vector<std::string> peers;
+};
+
 /// The connections of this instance to one member. Each belongs to one workspace and is lent for the length of a
 /// statement or a transaction. Also records the member's health, lag and load. Runs on the request thread.
 class TargetPool : public std::enable_shared_from_this<TargetPool> {
@@ -53,8 +65,10 @@
     void recordSpeed(const WorkKind&, Duration took, bool failed, TimePoint now);
     /// Records for the choice of a member that a statement is being sent there.
     void recordSent(TimePoint now);
+    /// Records that the member replied after `took` to a request that needs hardly any work.
+    void recordExchange(Duration took, TimePoint now) { this->limit.recordExchange(took, now); }
     /// Records that the member refused a statement for want of capacity.
-    void recordBusy() { this->window.recordRefusal(); }
+    void recordBusy(TimePoint now);
     /// Records that a transaction holds a connection without running a statement on it, or with `becomesIdle` false
     /// that it no longer does.
     void recordIdleInTransaction(bool becomesIdle);
@@ -80,8 +94,18 @@
     /// power, and the others need free connections meanwhile.
     void setShare(std::size_t connections);
     /// The same for a gateway of the member's service. The gateways' shares add up to no more than the member accepts,
-    /// so that none opens more than its share or closes connections that may be used again.
-    void setGatewayShare(std::size_t connections);
+    /// so that none opens more than its share or closes connections that may be used again. They also divide the places
+    /// at the member, in place of a send window.
+    void setGatewayShare(const GatewayShare&, TimePoint now);
+    /// Records another gateway's demand at the member.
+    void recordDemand(const std::string& sender, std::int64_t sentAtMs, const MemberDemand&, TimePoint now);
+    /// This instance's demand at the member.
+    MemberDemand demand(TimePoint now) const;
+    bool isGateway() const { return this->demandShare.has_value(); }
+    /// Statements that this instance may have at the member now.
+    std::size_t places(TimePoint now) const;
+    /// Serves waiting statements if there are free places for them.
+    void serveWaiting();
     /// Sets what is known of the speeds of the service's members. Null: the moving average of the response times
     /// counts.
     void setSpeed(std::shared_ptr<MemberSpeed> next) { this->speed = std::move(next); }
@@ -136,6 +160,8 @@
     boost::asio::any_io_executor executor;
     std::shared_ptr<const TargetProtocol> protocol;
     TargetRecord record;
+    // Names the member to other gateways.
+    std::uint32_t key;
     // Connections that this instance may have open even while the member is at its limit.
     std::size_t share = 1;
     // Connections that it may have open while the member accepts more.
@@ -159,6 +185,9 @@
     double averageResponseTimeMs = 20;
     std::shared_ptr<MemberSpeed> speed;
     SendWindow window;
+    ConcurrencyLimit limit;
+    // Set on the gateways of the member's service.
+    std::optional<DemandShare> demandShare;
     // Lent connections whose transaction is not running a statement.
     std::size_t idleInTransaction = 0;
     // Last observed lag of the member's log.
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -117,8 +117,9 @@
 TEST(TargetPool, AGatewayKeepsTheConnectionsOfItsShare)
 {
     PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 4;
     auto pool = fixture.pool(0);
-    pool->setGatewayShare(2);
+    pool->setGatewayShare({ 2, "a", {} }, Clock::now());
     fixture.run([&]() -> asio::awaitable<void> {
         auto first = co_await pool->borrow("tours", 1, farDeadline());
         auto second = co_await pool->borrow("museum", 1, farDeadline());
@@ -141,6 +142,40 @@
     });
 }
 
+// Two gateways that each used all places of a member would make statements queue there.
+TEST(TargetPool, GatewaysDivideThePlacesAtAMember)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 4;
+    auto pool = fixture.pool(0);
+    TimePoint knownSince = Clock::now() - std::chrono::seconds(5);
+    pool->setGatewayShare({ 8, "a", { "b" } }, knownSince);
+    EXPECT_EQ(pool->places(Clock::now()), 4u);
+    MemberDemand others = pool->demand(Clock::now());
+    others.running = 4;
+    others.waiting = 8;
+    pool->recordDemand("b", 1, others, Clock::now());
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto first = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_TRUE(first);
+        EXPECT_EQ(pool->demand(Clock::now()).running, 1u);
+        auto refused = co_await pool->borrow("museum", 1, Clock::now() + Milliseconds(30));
+        EXPECT_FALSE(refused);
+        // The other gateway has no statements left.
+        asio::steady_timer timer(fixture.context, Milliseconds(30));
+        timer.async_wait([&](boost::system::error_code) {
+            others.running = 0;
+            others.waiting = 0;
+            pool->recordDemand("b", 2, others, Clock::now());
+            pool->serveWaiting();
+        });
+        auto second = co_await pool->borrow("museum", 1, farDeadline());
+        EXPECT_TRUE(second);
+        pool->release(*first);
+        pool->release(*second);
+    });
+}
+
 // A pool that didn't learn of a new term would go on counting the failures of the last one, and one that belonged to
 // another term than the view would count for nothing.
 TEST(TargetGroups, StartsThePrimarysHealthAnewWhenTheViewNamesItForANewTerm)
