--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -96,7 +96,7 @@
     boost::asio::io_context context;
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(60000));
     freshness->confirm(start);
-    TargetGroups groups(context.get_executor(), nullptr, freshness, "here");
+    TargetGroups groups(context.get_executor(), nullptr, freshness, "i", "here");
     TargetRecord member;
     member.id = "a";
     member.service = "s";
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -81,7 +81,6 @@
 {
     this->memberId.clear();
     this->attempts = 0;
-    this->keepsConnection = this->adopted;
 }
 
 // Tells the pool whether the transaction's connection is in use by a statement. Between its statements a transaction
@@ -156,6 +155,13 @@
     return found != this->prepared.end() && found->second.writes;
 }
 
+WorkKind SessionRunner::workKind(const SessionStatement& statement, const Route& route) const
+{
+    if (statement.kind == StatementKind::Commit)
+        return workKindOf(route, WorkKind::Access::Commit);
+    return workKindOf(route, this->writes(statement) ? WorkKind::Access::Write : WorkKind::Access::Read);
+}
+
 // Name under which a prepared statement is known on a connection. Connections are shared by sessions, and two callers
 // may use one name for different statements, so the name is a hash of the statement's text.
 std::string SessionRunner::preparedNameFor(const SessionStatement& statement) const
@@ -172,6 +178,7 @@
     requirements.workspace = call.workspace;
     requirements.consistency = call.route.consistency;
     requirements.maxAge = Milliseconds(call.route.maxAgeMs);
+    requirements.work = workKindOf(call.route, WorkKind::Access::Read);
     auto lastCommit = this->committedPositions.find(call.route.pool);
     if (lastCommit != this->committedPositions.end())
         requirements.lastCommit = lastCommit->second;
@@ -308,7 +315,6 @@
 void SessionRunner::adopt(const ForwardedCall& call, bool preparedWrites)
 {
     this->adopted = true;
-    this->keepsConnection = true;
     this->values = call.values;
     if (call.lastCommit.term)
         this->committedPositions[call.route.pool] = call.lastCommit;
@@ -357,7 +363,6 @@
         answer = co_await this->gateway.read(std::move(described), call.deadline, std::move(late));
     if (!answer) {
         bool lost = answer.error() == ForwardFailure::ReplyLost;
-        this->keepsConnection = answer.error() == ForwardFailure::OwnGateway;
         // The token of what may have run at the gateway was taken there.
         this->operationMayHaveRun = lost && wrote;
         this->operationMayHaveWritten = lost && wrote;
@@ -449,8 +454,8 @@
     return primary && primary->id == pool.target().id && this->context->freshness->isFresh(Clock::now());
 }
 
-// Checks the caller's permission, the member and the primary again just before a statement is sent: either may have changed while
-// the statement waited for a connection.
+// Checks the caller's permission, the member and the primary again just before a statement is sent: either may have
+// changed while the statement waited for a connection.
 bool SessionRunner::mayStillRun(const Placement& placement, const StatementCall& call) const
 {
     if (!call.isAllowed() || !TargetGroups::mayUse(*this->context->view->read(), *placement.pool, Clock::now()))
@@ -496,8 +501,10 @@
     auto reply = co_await link->send(statement, placement.after, preparedName, deadline);
     TimePoint now = Clock::now();
     this->operationMayHaveRun = this->operationMayHaveRun || !reply || !reply->error || !isNotRun(*reply->error);
+    WorkKind work = this->workKind(statement, call.route);
     if (!reply) {
         pool->recordFailure(sentAt, wrote, now);
+        pool->recordSpeed(work, now - sentAt, true, now);
         attempt.outcome = Attempt::AttemptOutcome::ReplyLost;
         attempt.reply.errorText = reply.error().message;
         co_return attempt;
@@ -506,6 +513,7 @@
     if (!reply->error && reply->signature.empty()) {
         link->close();
         pool->recordFailure(sentAt, wrote, now);
+        pool->recordSpeed(work, now - sentAt, true, now);
         attempt.outcome = Attempt::AttemptOutcome::ReplyLost;
         attempt.reply.errorText = "the member's reply has no signature; the connection was closed";
         co_return attempt;
@@ -516,12 +524,16 @@
     bool done = !attempt.reply.error;
     this->context->groups->recordMemberPosition(*pool, attempt.reply.position, now);
     if (attempt.reply.error == StatementError::Busy)
-        pool->recordBusy();
+        pool->recordBusy(now);
     if (attempt.reply.error == StatementError::Lagging) {
         pool->recordLagging(placement.after.value_or(Position {}), attempt.reply.position, now);
         co_return attempt;
     }
     pool->recordReply(now - sentAt, wrote && done, attempt.reply.position, now);
+    // Callers' own errors meet all members alike, except those of writes, which only the primary runs.
+    bool failed = !done && (attempt.reply.error != StatementError::Failed || work.access == WorkKind::Access::Read);
+    if (!notRun)
+        pool->recordSpeed(work, now - sentAt, failed, now);
     // A refusal for want of capacity also carries the primary's position. An overloaded primary sends little else, so
     // without these replies the position would be missing just then.
     if (done || attempt.reply.error == StatementError::Busy)
@@ -581,10 +593,7 @@
         attempt = co_await this->exchange(*link, placement, statement, call, deadline);
     }
     this->logFailedAttempt(attempt, statement, placement.after);
-    if (this->keepsConnection && (*link)->isOpen() && (*link)->state() == TransactionState::Idle)
-        placement.pool->keep(*link);
-    else
-        rollBackAndRelease(this->context->executor, placement.pool, *link);
+    rollBackAndRelease(this->context->executor, placement.pool, *link);
     attempt.reply.state = TransactionState::Idle;
     co_return attempt;
 }
@@ -692,7 +701,7 @@
     TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
     while (stateApplied && reply && reply->error == StatementError::Busy && Clock::now() + busyRetryDelay < waitUntil
         && this->mayStillRun(placement, call)) {
-        placement.pool->recordBusy();
+        placement.pool->recordBusy(Clock::now());
         co_await this->sleepFor(busyRetryDelay);
         sentAt = Clock::now();
         reply = co_await link->command(begin, placement.after, call.deadline);
@@ -707,6 +716,7 @@
             = fmt::format("the member refused to start the transaction: {}", statementErrorName(*reply->error));
         co_return false;
     }
+    placement.pool->recordExchange(Clock::now() - sentAt, Clock::now());
     this->transaction.service = call.route.pool;
     this->transaction.pool = placement.pool;
     this->transaction.link = link;
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -121,6 +121,7 @@
     TargetReply refuse(StatementError, std::string text) const;
     TargetReply failTransaction(StatementError, std::string text);
     bool writes(const SessionStatement&) const;
+    WorkKind workKind(const SessionStatement&, const Route&) const;
     std::string preparedNameFor(const SessionStatement&) const;
     ReadRequirements readRequirements(const StatementCall&) const;
 
@@ -166,8 +167,6 @@
     bool operationMayHaveWritten = false;
     // True if the session is another instance's.
     bool adopted = false;
-    // True if the statement is a read for which this instance is the gateway, so that its connection is kept.
-    bool keepsConnection = false;
 };
 
 } // namespace catkinlock
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -1,5 +1,6 @@
 #include "libsession/target_pool.h"
 
+#include "libsession/member_speed.h"
 #include "libsession/spawn.h"
 #include "libsession/target_link.h"
 #include <algorithm>
@@ -23,8 +24,6 @@
     // The same if there are more instances than connections, since all of them together must leave the member free
     // ones.
     constexpr Milliseconds scarceIdleLifetime { 200 };
-    // Idle connections that an instance keeps as a gateway.
-    constexpr std::size_t maxKept = 4;
     // A busy instance may open this many times its share while the member accepts connections.
     constexpr std::size_t maxShares = 3;
     // The pool stays within its share for this time after the member refused a connection at its limit.
@@ -62,6 +61,7 @@
     : executor(std::move(executor))
     , protocol(std::move(protocol))
     , record(std::move(record))
+    , key(memberKey(this->record.id))
 {
 }
 
@@ -73,11 +73,15 @@
     this->maxOpen = this->share * maxShares;
     this->maxIdle = connections / 2;
     this->surplusLifetime = connections ? surplusIdleLifetime : scarceIdleLifetime;
+    this->demandShare.reset();
 }
 
-void TargetPool::setGatewayShare(std::size_t connections)
+void TargetPool::setGatewayShare(const GatewayShare& given, TimePoint now)
 {
-    this->share = std::max<std::size_t>(connections, 1);
+    if (!this->demandShare)
+        this->demandShare.emplace();
+    this->demandShare->setGateways(given.self, given.peers, now);
+    this->share = std::max<std::size_t>(given.connections, 1);
     this->maxOpen = this->share;
     this->maxIdle = this->share;
     this->surplusLifetime = surplusIdleLifetime;
@@ -85,10 +89,7 @@
 
 bool TargetPool::isConnectionLimited() const { return Clock::now() < this->connectionLimitedUntil; }
 
-std::size_t TargetPool::connectionLimit() const
-{
-    return this->isConnectionLimited() ? this->share : this->maxOpen + this->keptCount();
-}
+std::size_t TargetPool::connectionLimit() const { return this->isConnectionLimited() ? this->share : this->maxOpen; }
 
 std::shared_ptr<TargetLink> TargetPool::takeIdle(const std::string& workspace)
 {
@@ -104,20 +105,10 @@
     return nullptr;
 }
 
-std::size_t TargetPool::keptCount() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return item.kept; }));
-}
-
-// Closes the oldest idle connection, and one that is kept only if there is no other.
 void TargetPool::dropOldestIdle()
 {
-    auto oldest = std::find_if(this->idle.begin(), this->idle.end(), [](const IdleLink& item) { return !item.kept; });
-    if (oldest == this->idle.end())
-        oldest = this->idle.begin();
-    oldest->link->close();
-    this->idle.erase(oldest);
+    this->idle.front().link->close();
+    this->idle.pop_front();
     --this->connectionCount;
 }
 
@@ -247,7 +238,44 @@
     this->serveNext();
 }
 
-bool TargetPool::hasCapacity() const { return this->inUse() < this->window.size() + this->idleInTransaction; }
+bool TargetPool::hasCapacity() const { return this->inUse() < this->places(Clock::now()) + this->idleInTransaction; }
+
+std::size_t TargetPool::places(TimePoint now) const
+{
+    if (!this->demandShare)
+        return this->window.size();
+    MemberDemand own = this->demand(now);
+    // The share is asked for on behalf of another statement.
+    own.waiting = std::max(own.waiting, 1u);
+    return this->demandShare->places(this->record.maxConcurrentStatements, own, now);
+}
+
+MemberDemand TargetPool::demand(TimePoint now) const
+{
+    constexpr double percent = 100;
+    MemberDemand demand;
+    demand.member = this->key;
+    demand.running = static_cast<std::uint32_t>(this->inUse() - std::min(this->inUse(), this->idleInTransaction));
+    demand.waiting = static_cast<std::uint32_t>(this->waiters.size());
+    demand.stretchPercent = static_cast<std::uint32_t>(this->limit.stretch(now) * percent);
+    return demand;
+}
+
+void TargetPool::recordDemand(
+    const std::string& sender, std::int64_t sentAtMs, const MemberDemand& reported, TimePoint now)
+{
+    if (this->demandShare)
+        this->demandShare->recordReport(sender, sentAtMs, reported, now);
+}
+
+void TargetPool::serveWaiting()
+{
+    std::size_t waitingBefore = 0;
+    do {
+        waitingBefore = this->waiters.size();
+        this->serveNext();
+    } while (this->waiters.size() < waitingBefore);
+}
 
 void TargetPool::recordIdleInTransaction(bool becomesIdle)
 {
@@ -282,14 +310,6 @@
     this->recordClosed();
 }
 
-void TargetPool::keep(std::shared_ptr<TargetLink> link)
-{
-    if (!link->isOpen() || link->state() != TransactionState::Idle || this->keptCount() >= maxKept)
-        return this->release(std::move(link));
-    this->recordReturned(link->workspace());
-    this->makeAvailable(std::move(link), true);
-}
-
 void TargetPool::recordReturned(const std::string& workspace)
 {
     auto found = this->inUseByWorkspace.find(workspace);
@@ -297,7 +317,7 @@
         this->inUseByWorkspace.erase(found);
 }
 
-void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link, bool kept)
+void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link)
 {
     if (this->hasCapacity()) {
         if (auto waiter = this->takeWaiter(link->workspace())) {
@@ -307,11 +327,11 @@
             return;
         }
     }
-    this->idle.push_back({ std::move(link), Clock::now(), kept });
+    this->idle.push_back({ std::move(link), Clock::now() });
     // The member is at its connection limit, so unused connections are closed to let other instances connect.
     if (this->isConnectionLimited())
         this->dropIdleBeyond(0);
-    while (!this->idle.empty() && this->connectionCount > this->share + this->keptCount())
+    while (!this->idle.empty() && this->connectionCount > this->share)
         this->dropOldestIdle();
     this->serveNext();
 }
@@ -364,17 +384,10 @@
     this->recorder.recordFailure(sentAt, lostWrite, now);
 }
 
-Milliseconds TargetPool::lifetimeOf(const IdleLink& item) const
-{
-    if (item.kept)
-        return surplusIdleLifetime;
-    return this->idle.size() > this->maxIdle ? this->surplusLifetime : idleLifetime;
-}
-
 void TargetPool::closeIdle(TimePoint now)
 {
     for (auto item = this->idle.begin(); item != this->idle.end();) {
-        if (now - item->since < this->lifetimeOf(*item)) {
+        if (now - item->since < (this->idle.size() > this->maxIdle ? this->surplusLifetime : idleLifetime)) {
             ++item;
             continue;
         }
@@ -386,13 +399,43 @@
 
 void TargetPool::closeAll() { this->dropIdleBeyond(0); }
 
-MemberLoad TargetPool::load(const std::string& workspace, TimePoint now) const
+void TargetPool::recordSpeed(const WorkKind& kind, Duration took, bool failed, TimePoint now)
+{
+    if (!this->speed)
+        return;
+    if (failed)
+        return this->speed->recordFailure(this->record.id, kind, took, now);
+    this->speed->recordReply(this->record.id, kind, took, now);
+    this->limit.recordReply(took, now);
+}
+
+void TargetPool::recordBusy(TimePoint now)
+{
+    this->window.recordRefusal();
+    this->limit.recordBusy(now);
+}
+
+void TargetPool::recordSent(TimePoint now)
+{
+    if (this->speed)
+        this->speed->recordSent(this->record.id, now);
+}
+
+MemberLoad TargetPool::load(const std::string& workspace, const WorkKind& kind, TimePoint now) const
 {
     MemberLoad load;
     load.id = this->record.id;
     load.inFlight = this->inUse() + this->waiters.size();
     load.maxConcurrentStatements = this->record.maxConcurrentStatements;
-    load.averageResponseTime = Milliseconds(static_cast<std::int64_t>(this->averageResponseTimeMs));
+    load.responseTime = Milliseconds(static_cast<std::int64_t>(this->averageResponseTimeMs));
+    if (this->speed) {
+        load.responseTime = this->speed->expectedTime(this->record.id, kind).value_or(MemberLoad {}.responseTime);
+        load.needsProbe = this->speed->needsProbe(this->record.id, now);
+    }
+    if (this->demandShare) {
+        load.inFlight -= std::min(load.inFlight, this->idleInTransaction);
+        load.maxConcurrentStatements = this->places(now);
+    }
     load.hasIdleConnection = std::any_of(this->idle.begin(), this->idle.end(),
         [&workspace](const IdleLink& item) { return item.link->workspace() == workspace; });
     load.atSendLimit = !this->hasCapacity() || (!load.hasIdleConnection && this->inUse() >= this->connectionLimit());
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -113,26 +113,69 @@
     });
 }
 
-TEST(TargetPool, AGatewayKeepsAFewConnectionsForAShortTimeAlthoughThereAreFew)
+// A gateway that closed its workspaces' connections early would open one for each statement that comes after a pause.
+TEST(TargetPool, AGatewayKeepsTheConnectionsOfItsShare)
 {
     PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 4;
     auto pool = fixture.pool(0);
+    pool->setGatewayShare({ 2, "a", {} }, Clock::now());
     fixture.run([&]() -> asio::awaitable<void> {
-        auto kept = co_await pool->borrow("tours", 1, farDeadline());
-        auto other = co_await pool->borrow("museum", 1, farDeadline());
-        EXPECT_TRUE(kept && other);
-        pool->keep(*kept);
-        pool->release(*other);
-        pool->closeIdle(Clock::now() + Milliseconds(250));
-        EXPECT_EQ(pool->open(), 1u);
+        auto first = co_await pool->borrow("tours", 1, farDeadline());
+        auto second = co_await pool->borrow("museum", 1, farDeadline());
+        EXPECT_TRUE(first && second);
+        pool->release(*first);
+        pool->release(*second);
+        pool->closeIdle(Clock::now() + Milliseconds(25000));
+        EXPECT_EQ(pool->open(), 2u);
         auto again = co_await pool->borrow("tours", 1, farDeadline());
-        EXPECT_EQ(*again, *kept);
-        pool->keep(*again);
-        pool->closeIdle(Clock::now() + Milliseconds(2500));
+        EXPECT_EQ(*again, *first);
+        pool->release(*again);
+        // A third workspace gets the place of the connection that has been idle for longest.
+        auto third = co_await pool->borrow("garden", 1, farDeadline());
+        EXPECT_TRUE(third);
+        EXPECT_EQ(pool->open(), 2u);
+        EXPECT_FALSE((*second)->isOpen());
+        pool->release(*third);
+        pool->closeIdle(Clock::now() + Milliseconds(35000));
         EXPECT_EQ(pool->open(), 0u);
     });
 }
 
+// Two gateways that each used all places of a member would make statements queue there.
+TEST(TargetPool, GatewaysDivideThePlacesAtAMember)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 4;
+    auto pool = fixture.pool(0);
+    TimePoint knownSince = Clock::now() - std::chrono::seconds(5);
+    pool->setGatewayShare({ 8, "a", { "b" } }, knownSince);
+    EXPECT_EQ(pool->places(Clock::now()), 4u);
+    MemberDemand others = pool->demand(Clock::now());
+    others.running = 4;
+    others.waiting = 8;
+    pool->recordDemand("b", 1, others, Clock::now());
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto first = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_TRUE(first);
+        EXPECT_EQ(pool->demand(Clock::now()).running, 1u);
+        auto refused = co_await pool->borrow("museum", 1, Clock::now() + Milliseconds(30));
+        EXPECT_FALSE(refused);
+        // The other gateway has no statements left.
+        asio::steady_timer timer(fixture.context, Milliseconds(30));
+        timer.async_wait([&](boost::system::error_code) {
+            others.running = 0;
+            others.waiting = 0;
+            pool->recordDemand("b", 2, others, Clock::now());
+            pool->serveWaiting();
+        });
+        auto second = co_await pool->borrow("museum", 1, farDeadline());
+        EXPECT_TRUE(second);
+        pool->release(*first);
+        pool->release(*second);
+    });
+}
+
 // A pool that didn't learn of a new term would go on counting the failures of the last one, and one that belonged to
 // another term than the view would count for nothing.
 TEST(TargetGroups, StartsThePrimarysHealthAnewWhenTheViewNamesItForANewTerm)
--- a/src/libsession/warm_up_limit_test.cpp
+++ b/src/libsession/warm_up_limit_test.cpp
@@ -368,7 +368,7 @@
     boost::asio::io_context context;
     auto freshness = std::make_shared<ViewFreshness>(Milliseconds(60000));
     freshness->confirm(start);
-    TargetGroups groups(context.get_executor(), nullptr, freshness, "here");
+    TargetGroups groups(context.get_executor(), nullptr, freshness, "i", "here");
     groups.limitWarmUp(termsFor("i0"));
     FleetView view = makeView(1, 1, 1, 60000);
     TargetRecord warm = coldMember(0);
