Let a leaving primary step down only once another member has its log

A leaving member that had just been promoted stepped down at once. A replica that had not received its log by then was paused without it, so that the leaving member was promoted again after 1.5 s and served the callers.

The leader now waits, for 1.5 s at most, until a member that isn't leaving reports the log.

--- a/src/libsession/replacement.cpp
+++ b/src/libsession/replacement.cpp
@@ -43,6 +43,9 @@
     // draining, may be promoted again, since it has stepped down by then and its replicas can't get its log otherwise.
     constexpr Milliseconds avoidFormerPrimaryFor { 1500 };
 
+    // A leaving member that was promoted steps down after this time, also if no other one has received its log.
+    constexpr Milliseconds catchUpTimeout { 1500 };
+
     std::string text(std::int64_t number) { return fmt::format("{}", number); }
 
     // The members with their roles and log positions, for the log.
@@ -343,6 +346,31 @@
     co_return term;
 }
 
+// Waits until a member that isn't leaving has the log that the leaving one was promoted with, for `catchUpTimeout` at
+// most. A replica that is paused before receives the rest only if the leaving member is promoted again.
+asio::awaitable<void> GroupReplacer::awaitFollower(ReplacementDecision decision, Promoted leaving)
+{
+    auto self = this->shared_from_this();
+    Position needed;
+    for (const PromotionCandidate& candidate : leaving.member.candidates) {
+        if (candidate.id == leaving.member.target.id)
+            needed = candidate.report.received;
+    }
+    TimePoint deadline = Clock::now() + catchUpTimeout;
+    while (Clock::now() < deadline && this->mayAct(decision)) {
+        auto others = this->parts.view->read()->membersOf(decision.service);
+        std::erase_if(others, [](const TargetRecord& member) { return member.draining; });
+        auto reports = co_await this->members->reports(others, leaving.member.target.id);
+        bool hasFollower = std::any_of(reports.begin(), reports.end(), [&needed](const PromotionCandidate& member) {
+            return member.report.term && member.report.received >= needed;
+        });
+        if (hasFollower || others.empty())
+            co_return;
+        co_await this->parts.leaderLease->renewIfNeeded();
+        co_await this->sleepFor(stepInterval);
+    }
+}
+
 // Hands the role of a leaving member, which was promoted because no other one had its log, over to another member
 // without serving in between. The record names the leaving member from then on, so that the next leader goes on from
 // here if this one ends. Returns the leaving member again if no other one gets its log, std::nullopt on failure.
@@ -363,6 +391,7 @@
             { "term", text(static_cast<std::int64_t>(between.term)) }, { "recorded", written ? "true" : "false" } });
     if (!written)
         co_return std::nullopt;
+    co_await this->awaitFollower(decision, leaving);
     decision.planned = true;
     auto selected = co_await this->selectNewPrimary(decision, between, std::move(membership));
     if (!selected)
--- a/src/libsession/replacement.h
+++ b/src/libsession/replacement.h
@@ -114,6 +114,7 @@
     void logFencing(const std::string& service, const std::vector<PromotionCandidate>&,
         const std::optional<std::string>& chosen) const;
     boost::asio::awaitable<std::uint64_t> makePrimary(ReplacementDecision, NewPrimary);
+    boost::asio::awaitable<void> awaitFollower(ReplacementDecision, Promoted leaving);
     boost::asio::awaitable<std::optional<Promoted>> handOver(
         ReplacementDecision, GroupMembership, Mark, Promoted leaving);
     void resumeReplicas(const ReplacementDecision&, const std::string& primary);
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -363,6 +363,45 @@
     return false;
 }
 
+// `behindFor`: how long after the promotion of the leaving member the other one still receives nothing.
+void playLeavingReplica(milliseconds behindFor)
+{
+    PromotionFleet fleet(2);
+    const auto& members = fleet.group.members();
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    // A membership is complete 10 s after the start of a fleet.
+    std::this_thread::sleep_for(milliseconds(11000));
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(true); });
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
+    fleet.runOnStandInThread([&] { members[1]->setDraining(true); });
+    // The announcement is in the views by then.
+    std::this_thread::sleep_for(milliseconds(1500));
+    std::size_t promotions = 0;
+    fleet.runOnStandInThread([&] {
+        members[0]->goDark(milliseconds(30000));
+        members[2]->setDeaf(behindFor > milliseconds(0));
+        promotions = fleet.group.promotions();
+    });
+    std::thread hearing([&] {
+        std::size_t now = promotions;
+        for (int i = 0; i < maxWriteAttempts && now == promotions; ++i) {
+            std::this_thread::sleep_for(waitInterval);
+            fleet.runOnStandInThread([&] { now = fleet.group.promotions(); });
+        }
+        std::this_thread::sleep_for(behindFor);
+        fleet.runOnStandInThread([&] { members[2]->setDeaf(false); });
+    });
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last")) << fleet.history();
+    hearing.join();
+    bool otherLeads = false;
+    fleet.runOnStandInThread([&] { otherLeads = members[2]->isPrimary(); });
+    EXPECT_TRUE(otherLeads) << fleet.history();
+    EXPECT_NE(fleet.history().find(R"("leaving_member_promoted")"), std::string::npos) << fleet.history();
+    EXPECT_FALSE(hasServed(fleet, members[1]->id())) << fleet.history();
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 } // namespace
 
 // Guards against LOST at a promotion: the lagging replica counts as the whole group.
@@ -426,31 +465,11 @@
 
 // Guards against DRAIN at a promotion: the primary is dark, and only a replica that leaves has every commit. It was
 // made the serving primary, and got all statements for as long as the views and the next replacement took.
-TEST(Promotions, ALeavingMemberThatIsPromotedHandsOverBeforeTheGroupServes)
-{
-    PromotionFleet fleet(2);
-    const auto& members = fleet.group.members();
-    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
-    // A membership is complete 10 s after the start of a fleet.
-    std::this_thread::sleep_for(milliseconds(11000));
-    fleet.runOnStandInThread([&] { members[2]->setDeaf(true); });
-    for (int i = 0; i < 5; ++i)
-        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
-    fleet.runOnStandInThread([&] { members[1]->setDraining(true); });
-    // The announcement is in the views by then.
-    std::this_thread::sleep_for(milliseconds(1500));
-    fleet.runOnStandInThread([&] {
-        members[0]->goDark(milliseconds(30000));
-        members[2]->setDeaf(false);
-    });
-    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last")) << fleet.history();
-    bool otherLeads = false;
-    fleet.runOnStandInThread([&] { otherLeads = members[2]->isPrimary(); });
-    EXPECT_TRUE(otherLeads) << fleet.history();
-    EXPECT_NE(fleet.history().find(R"("leaving_member_promoted")"), std::string::npos) << fleet.history();
-    EXPECT_FALSE(hasServed(fleet, members[1]->id())) << fleet.history();
-    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
-}
+TEST(Promotions, ALeavingMemberThatIsPromotedHandsOverBeforeTheGroupServes) { playLeavingReplica(milliseconds(0)); }
+
+// Guards against DRAIN at a promotion: the leaving member steps down before another one has received its log, and has
+// to be promoted again and to serve.
+TEST(Promotions, ALeavingMemberHandsOverOnceAnotherHasItsLog) { playLeavingReplica(milliseconds(1200)); }
 
 // Guards against LOST after a loss of power: all instances restart without a memory of the positions that they
 // acknowledged, and then the primary is down while one replica lags.
