--- a/src/standin/replicated_member.cpp
+++ b/src/standin/replicated_member.cpp
@@ -131,9 +131,16 @@
 std::string ReplicatedMember::entry() const
 {
     return fmt::format(
-        R"({{"service":"{}","address":"{}","zone":"{}","slots":8,"state":"{}","dbRole":"{}","born":{}}})",
+        R"({{"service":"{}","address":"{}","zone":"{}","slots":8,"state":"{}","dbRole":"{}","born":{},"coldLeftMs":{}}})",
         this->group.service(), formatAddress(this->acceptor.local_endpoint()), this->dataCentre,
-        this->draining ? "draining" : "ready", this->primary ? "primary" : "replica", this->startedAt);
+        this->draining ? "draining" : "ready", this->primary ? "primary" : "replica", this->startedAt,
+        this->remainingWarmUpMs());
+}
+
+std::int64_t ReplicatedMember::remainingWarmUpMs() const
+{
+    auto now = std::chrono::steady_clock::now();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(this->warmUntil, now) - now).count();
 }
 
 asio::awaitable<void> ReplicatedMember::sendHeartbeats()
@@ -297,8 +304,10 @@
     if (word == "BEGIN")
         connection->state = TransactionState::Open;
     bool works = word == "READ" || word == "WRITE" || word == "COMMIT";
-    if (works || word == "BEGIN")
+    if (works || word == "BEGIN") {
         this->lastWorkAt = std::chrono::steady_clock::now();
+        ++this->workCount;
+    }
     if (!works) {
         if (word == "ROLLBACK") {
             connection->state = TransactionState::Idle;
--- a/src/standin/replicated_member.h
+++ b/src/standin/replicated_member.h
@@ -61,9 +61,13 @@
     void setDraining(bool draining) { this->draining = draining; }
     /// Sets the data centre in the member's entry.
     void setDataCentre(std::string name) { this->dataCentre = std::move(name); }
+    /// Has the member's entry state that it warms up for this time from now on.
+    void setWarmUp(std::chrono::milliseconds time) { this->warmUntil = std::chrono::steady_clock::now() + time; }
     /// When the member last received a read, a write, or the begin or commit of a transaction; the clock's epoch if it
     /// never did.
     std::chrono::steady_clock::time_point workReceivedAt() const { return this->lastWorkAt; }
+    /// Number of such statements received.
+    std::size_t workReceived() const { return this->workCount; }
     /// Time that each read, write and commit takes.
     void setWorkTime(std::chrono::milliseconds time) { this->workTime = time; }
     /// Time that each command of an instance takes, among them STATUS and PAUSE.
@@ -91,6 +95,7 @@
     bool isCutFrom(const ReplicatedMember& member) const { return this->cutMember == member.memberId; }
     void follow(const ReplicatedMember& primary);
     std::string entry() const;
+    std::int64_t remainingWarmUpMs() const;
 
     boost::asio::io_context& context;
     ReplicatedGroup& group;
@@ -108,6 +113,8 @@
     bool draining = false;
     std::string dataCentre = "a";
     TimePoint lastWorkAt;
+    std::size_t workCount = 0;
+    TimePoint warmUntil;
     TimePoint frozenUntil;
     TimePoint darkUntil;
     TimePoint storeLostUntil;
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -157,20 +157,27 @@
     }
 }
 
-// Sends reads that replicas may serve through one instance until `ended`.
-void runReader(PromotionFleet& fleet, std::size_t instance, const std::atomic<bool>& ended)
+// Repeats one statement through one instance until `ended`.
+void repeatStatement(PromotionFleet& fleet, std::size_t instance, const std::string& database, const std::string& text,
+    const std::atomic<bool>& ended)
 {
     while (!ended) {
-        LineCaller caller(fleet.fronts->callerAddress(instance), "bounded_staleness-db", "key-1");
+        LineCaller caller(fleet.fronts->callerAddress(instance), database, "key-1");
         bool open = caller.openResponse.starts_with("READY");
         while (open && !ended) {
-            open = !caller.run("READ item").empty();
+            open = !caller.run(text).empty();
             std::this_thread::sleep_for(milliseconds(20));
         }
         std::this_thread::sleep_for(waitInterval);
     }
 }
 
+// Sends reads that replicas may serve through one instance until `ended`.
+void runReader(PromotionFleet& fleet, std::size_t instance, const std::atomic<bool>& ended)
+{
+    repeatStatement(fleet, instance, "bounded_staleness-db", "READ item", ended);
+}
+
 // What happens to one member.
 void disturbMember(PromotionFleet& fleet, ReplicatedMember& member, unsigned how, milliseconds time)
 {
@@ -448,6 +455,47 @@
     EXPECT_TRUE(writeUntilDone(fleet, 0, "WRITE seat last"));
 }
 
+// Guards against instances that together send a member more than it takes while it warms up, or nothing at all.
+TEST(Promotions, AMemberThatWarmsUpGetsAtMostItsBound)
+{
+    constexpr std::size_t measuredSeconds = 5;
+    // 2 x 1.5 + 5.
+    constexpr std::size_t bound = 8;
+    PromotionFleet fleet(2, [](ReplicatedGroup& group) { group.members()[0]->setWarmUp(minutes(1)); });
+    std::string configuration
+        = lineConfiguration(2, R"("key-1")", { "primary", "read_your_writes", "bounded_staleness" }, maxConnections);
+    std::string before = R"("syncReplicas":1)";
+    configuration.replace(configuration.find(before), before.size(), before + R"(,"coldPerS":2)");
+    fleet.runOnStandInThread([&] { fleet.store->put("op/config", configuration); });
+    std::atomic<bool> ended = false;
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0; i < 8; ++i) {
+        clients.emplace_back(
+            [&fleet, &ended, i] { repeatStatement(fleet, i % 2, "primary-db", "WRITE item data", ended); });
+    }
+    clients.emplace_back([&fleet, &ended] { runReader(fleet, 0, ended); });
+    // Instances send nothing to such a member before all views list them.
+    std::this_thread::sleep_for(std::chrono::seconds(8));
+    auto received = [&fleet](std::size_t member) {
+        std::size_t count = 0;
+        fleet.runOnStandInThread([&] { count = fleet.group.members()[member]->workReceived(); });
+        return count;
+    };
+    std::size_t coldBefore = received(0);
+    std::size_t warmBefore = received(1) + received(2);
+    std::this_thread::sleep_for(std::chrono::seconds(measuredSeconds));
+    std::size_t cold = received(0) - coldBefore;
+    std::size_t warm = received(1) + received(2) - warmBefore;
+    ended = true;
+    for (std::thread& client : clients)
+        client.join();
+    std::printf("%zu statements at the member that warms up, %zu at the others\n", cold, warm);
+    // The measured time begins and ends within a second of the bound.
+    EXPECT_LE(cold, bound * (measuredSeconds + 1));
+    EXPECT_GT(cold, 0u);
+    EXPECT_GT(warm, 0u);
+}
+
 // Guards against LOST at a promotion: the lagging replica counts as the whole group.
 TEST(Promotions, ALaggingReplicaIsNotPromotedWhileTheOthersAreDown) { playLaggingReplica(milliseconds(0)); }
 
