--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -309,12 +309,12 @@
     FleetView next = this->builder.build(this->mirror->values(), this->mirror->revision(), Clock::now());
     for (const std::string& fault : this->builder.takeFaults())
         writeLog(LogLevel::Warning, "document_rejected", { { "reason", fault } });
-    for (const EvacuationEvent& event : this->builder.takeEvacuationEvents())
-        logEvacuation(event);
     auto tables = next.tables;
     this->followOwnEntry(next);
     this->promoter->recordView(next, this->freshness->confirmed(), Clock::now());
     this->view->replace(std::move(next));
+    for (const EvacuationEvent& event : this->builder.takeEvacuationEvents())
+        logEvacuation(event);
     this->reportRevision();
     if (tables->revision != this->activeTablesRevision) {
         this->activeTablesRevision = tables->revision;
--- a/testsuite/promotions/promotions.cpp
+++ b/testsuite/promotions/promotions.cpp
@@ -455,6 +455,46 @@
     EXPECT_TRUE(writeUntilDone(fleet, 0, "WRITE seat last"));
 }
 
+// Guards against statements of a transaction that still reach a member after its data centre was evacuated.
+TEST(Promotions, ATransactionOnAnEvacuatedMemberIsRolledBack)
+{
+    PromotionFleet fleet(1);
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    LineCaller writer(fleet.fronts->callerAddress(0), "primary-db", "key-1");
+    writer.run("BEGIN");
+    ASSERT_NE(writer.run("WRITE seat late").find("DONE s"), std::string::npos);
+    LineCaller reader(fleet.fronts->callerAddress(0), "bounded_staleness-db", "key-1");
+    reader.run("BEGIN READ");
+    ASSERT_NE(reader.run("READ seat").find("DONE s"), std::string::npos);
+    fleet.runOnStandInThread([&] { fleet.store->put("op/evacuate/a", "{}"); });
+    ASSERT_TRUE(awaitInstanceThatLogs(fleet, "evacuation_begun"));
+    EXPECT_NE(reader.run("READ seat").find("ERR ABORTED"), std::string::npos);
+    std::string response = writer.run("COMMIT");
+    EXPECT_NE(response.find("ERR ABORTED"), std::string::npos) << response;
+}
+
+// Guards against a commit that is lost, or a group that stays without a primary, when the only member elsewhere lacks
+// commits as the evacuation begins.
+TEST(Promotions, AnEvacuatedGroupWaitsForALaggingReplicaElsewhere)
+{
+    PromotionFleet fleet(2, [](ReplicatedGroup& group) { group.members()[2]->setDataCentre("b"); });
+    const auto& members = fleet.group.members();
+    ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat early"));
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(true); });
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilDone(fleet, 0, "WRITE seat late"));
+    fleet.runOnStandInThread([&] { fleet.store->put("op/evacuate/a", "{}"); });
+    ASSERT_TRUE(awaitInstanceThatLogs(fleet, "members_fenced"));
+    std::this_thread::sleep_for(milliseconds(4000));
+    fleet.runOnStandInThread([&] { members[2]->setDeaf(false); });
+    EXPECT_TRUE(writeUntilDone(fleet, 1, "WRITE seat last")) << fleet.history();
+    fleet.runOnStandInThread([&] {
+        EXPECT_EQ(fleet.group.primary(), members[2].get());
+        std::printf("%u promotions\n", fleet.group.promotions());
+    });
+    EXPECT_EQ(fleet.lostCommits(), 0u) << fleet.history();
+}
+
 // Guards against instances that together send a member more than it takes while it warms up, or nothing at all.
 TEST(Promotions, AMemberThatWarmsUpGetsAtMostItsBound)
 {
