--- a/src/libsession/evacuation_test.cpp
+++ b/src/libsession/evacuation_test.cpp
@@ -39,6 +39,7 @@
 std::vector<Kind> kindsOf(const std::vector<EvacuationEvent>& events)
 {
     std::vector<Kind> kinds;
+    kinds.reserve(events.size());
     for (const EvacuationEvent& event : events)
         kinds.push_back(event.kind);
     return kinds;
