Serve a member's queue by priority and time left, refuse at once what can't be served

The queue's order, the minimum share of lower priorities, the bound of a workspace and the expected wait are in MemberQueue; reads that replicas can serve leave a primary the places that its writers use (PrimaryReserve). Pools without gateways keep their order.

--- a/src/libsession/member_capacity_test.cpp
+++ b/src/libsession/member_capacity_test.cpp
@@ -1,9 +1,11 @@
-// Tests of the decisions about a member's capacity: how many statements the fleet has under way there, and how its
-// gateways divide them. Virtual time, no network.
+// Tests of the decisions about a member's capacity: how many statements the fleet has under way there, how its gateways
+// divide them, and who gets the next place. Virtual time, no network.
 
 #include "libsession/concurrency_limit.h"
 #include "libsession/demand_exchange.h"
 #include "libsession/demand_share.h"
+#include "libsession/member_queue.h"
+#include "libsession/primary_reserve.h"
 #include <array>
 #include <cmath>
 #include <deque>
@@ -12,6 +14,7 @@
 #include <map>
 #include <random>
 #include <rapidcheck/gtest.h>
+#include <set>
 
 using namespace catkinlock;
 
@@ -320,3 +323,273 @@
     EXPECT_EQ(reports["b"].members.size(), 2u);
     EXPECT_EQ(reports["c"].members.size(), 1u);
 }
+
+namespace {
+
+MemberQueue::Item queued(const std::string& workspace, std::uint32_t priority, int since, int until)
+{
+    auto item = std::make_shared<QueuedStatement>();
+    *item = { workspace, priority, start + Milliseconds(since), start + Milliseconds(until), {} };
+    return item;
+}
+
+bool always(const QueuedStatement&) { return true; }
+
+} // namespace
+
+TEST(MemberQueue, ServesByPriorityThenByTheEndOfTheWait)
+{
+    MemberQueue queue;
+    auto late = queued("a", 1, 0, 300);
+    auto soon = queued("b", 1, 2, 200);
+    auto urgent = queued("c", 0, 5, 400);
+    for (const auto& item : { late, soon, urgent })
+        queue.add(item);
+    for (const auto& expected : { urgent, soon, late }) {
+        auto next = queue.next(4, {}, always);
+        EXPECT_EQ(next, expected);
+        queue.take(next, start);
+    }
+    EXPECT_TRUE(queue.empty());
+}
+
+// A low priority would never be served while higher ones use all places.
+TEST(MemberQueue, GivesOneOfEightPlacesToTheLongestWaitingOfTheLowerPriorities)
+{
+    MemberQueue queue;
+    auto first = queued("low", 2, 0, 900);
+    auto second = queued("low", 3, 1, 800);
+    queue.add(second);
+    queue.add(first);
+    std::vector<int> lowAt;
+    for (int i = 1; i <= 16; ++i) {
+        while (queue.size() < 6)
+            queue.add(queued("high" + std::to_string(i), 0, 10 + i, 100 + i));
+        auto next = queue.next(4, {}, always);
+        if (next->priority)
+            lowAt.push_back(i);
+        if (lowAt.size() == 1 && next->priority) {
+            EXPECT_EQ(next, first);
+        }
+        queue.take(next, start);
+    }
+    EXPECT_EQ(lowAt, (std::vector<int> { 8, 16 }));
+}
+
+TEST(MemberQueue, BoundsAWorkspaceWhileOthersWait)
+{
+    MemberQueue queue;
+    auto greedy = queued("greedy", 0, 0, 100);
+    auto other = queued("other", 2, 5, 900);
+    queue.add(greedy);
+    EXPECT_EQ(queue.next(4, { { "greedy", 3 } }, always), greedy);
+    queue.add(other);
+    EXPECT_EQ(queue.next(4, { { "greedy", 1 } }, always), greedy);
+    EXPECT_EQ(queue.next(4, { { "greedy", 2 } }, always), other);
+    EXPECT_EQ(queue.next(1, {}, always), greedy);
+    EXPECT_EQ(queue.next(1, { { "greedy", 1 } }, always), other);
+}
+
+// A statement whose workspace has no connection must not hold up the others.
+TEST(MemberQueue, PassesOverWhatCannotBeServed)
+{
+    MemberQueue queue;
+    auto blocked = queued("a", 0, 0, 100);
+    auto other = queued("b", 1, 5, 900);
+    queue.add(blocked);
+    queue.add(other);
+    EXPECT_EQ(queue.next(4, {}, [](const QueuedStatement& item) { return item.workspace == "b"; }), other);
+    EXPECT_EQ(queue.next(4, {}, [](const QueuedStatement&) { return false; }), nullptr);
+}
+
+TEST(MemberQueue, KnowsWhatItCannotServeInTime)
+{
+    MemberQueue queue;
+    queue.add(queued("a", 0, 0, 100));
+    queue.add(queued("a", 1, 0, 300));
+    queue.add(queued("a", 1, 0, 100));
+    EXPECT_EQ(queue.countBefore(1, start + Milliseconds(200)), 2u);
+    EXPECT_EQ(queue.countBefore(0, start + Milliseconds(50)), 0u);
+    // Two places and 30 ms for each statement: one place every 15 ms.
+    EXPECT_EQ(MemberQueue::expectedWait(2, 2, Milliseconds(30)), Milliseconds(45));
+    QueuedStatement statement;
+    statement.expectedWait = Milliseconds(45);
+    EXPECT_TRUE(queue.isServedInTime(statement, Milliseconds(80), start + Milliseconds(60)));
+    EXPECT_FALSE(queue.isServedInTime(statement, Milliseconds(40), start + Milliseconds(60)));
+    // Statements of this priority wait twice as long as expected.
+    for (int i = 0; i < 60; ++i) {
+        auto item = queued("a", 0, 0, 100);
+        item->expectedWait = Milliseconds(30);
+        queue.add(item);
+        queue.take(item, start + Milliseconds(60));
+    }
+    EXPECT_FALSE(queue.isServedInTime(statement, Milliseconds(80), start + Milliseconds(60)));
+    EXPECT_TRUE(queue.isServedInTime(statement, Milliseconds(130), start + Milliseconds(60)));
+    // Nothing was queued for some time, so that nothing is known of present waits.
+    EXPECT_TRUE(queue.isServedInTime(statement, Milliseconds(80), start + std::chrono::seconds(2)));
+}
+
+// Guards against reads that fill a primary whose writers need it, and against a primary that stays empty.
+TEST(PrimaryReserve, LeavesReadsThePlacesThatWritersDoNotNeed)
+{
+    PrimaryReserve reserve;
+    EXPECT_TRUE(reserve.admitsRead(3, 4, start));
+    EXPECT_FALSE(reserve.admitsRead(4, 4, start));
+    // Writers use two of four places for two thirds of the time, and three otherwise.
+    TimePoint now = start;
+    for (int i = 0; i < 100; ++i) {
+        reserve.record(i % 3 ? 2 : 3, now);
+        now += Milliseconds(50);
+    }
+    EXPECT_TRUE(reserve.admitsRead(1, 4, now));
+    EXPECT_FALSE(reserve.admitsRead(2, 4, now));
+    reserve.record(0, now);
+    EXPECT_TRUE(reserve.admitsRead(2, 4, now + std::chrono::seconds(3)));
+}
+
+namespace {
+
+// One gateway's queue for one member, with twice as many statements as the member can run.
+struct Overload {
+    struct Class {
+        std::uint32_t priority;
+        double share;
+        double workMs;
+        int waitMs;
+        double arrived = 0;
+        double served = 0;
+    };
+    static constexpr std::size_t places = 4;
+
+    explicit Overload(unsigned seed)
+        : random(seed)
+    {
+    }
+
+    void run(double load, Duration length)
+    {
+        double meanMs = 0;
+        for (const Class& each : this->classes)
+            meanMs += each.share * each.workMs;
+        std::exponential_distribution<double> gapMs(load * places / meanMs);
+        TimePoint arrival = start;
+        while (arrival < start + length) {
+            arrival += ms(gapMs(this->random));
+            this->advance(arrival);
+            this->arrive();
+        }
+        this->length = length;
+    }
+
+    void arrive()
+    {
+        std::discrete_distribution<std::size_t> which { this->classes[0].share, this->classes[1].share,
+            this->classes[2].share };
+        Class& drawn = this->classes[which(this->random)];
+        ++drawn.arrived;
+        TimePoint until = this->now + Milliseconds(drawn.waitMs);
+        auto item = std::make_shared<QueuedStatement>();
+        *item = { "w" + std::to_string(this->random() % 80), drawn.priority, this->now, until, {} };
+        std::size_t before = this->queue.countBefore(drawn.priority, until);
+        if (this->ends.size() >= places) {
+            item->expectedWait = MemberQueue::expectedWait(before, places, this->meanHeld.meanResponse());
+            if (!this->queue.isServedInTime(*item, until - this->now, this->now)) {
+                this->refusedAfterMs.push_back(0);
+                return;
+            }
+        }
+        this->queue.add(item);
+        this->queued.insert(item);
+        this->serve();
+    }
+
+    void advance(TimePoint until)
+    {
+        for (;;) {
+            TimePoint waitEnds = TimePoint::max();
+            MemberQueue::Item first;
+            for (const auto& item : this->queued) {
+                if (item->rank < waitEnds) {
+                    waitEnds = item->rank;
+                    first = item;
+                }
+            }
+            TimePoint workEnds = this->ends.empty() ? TimePoint::max() : this->ends.begin()->first;
+            this->now = std::min({ until, waitEnds, workEnds });
+            if (this->now == until)
+                return;
+            if (this->now == waitEnds) {
+                double waited = std::chrono::duration<double, std::milli>(this->now - first->since).count();
+                this->refusedAfterMs.push_back(waited);
+                this->queue.expire(first, this->now);
+                this->queued.erase(first);
+                continue;
+            }
+            this->end();
+        }
+    }
+
+    void end()
+    {
+        auto [startedAt, workspace] = this->ends.begin()->second;
+        this->ends.erase(this->ends.begin());
+        if (!--this->held[workspace])
+            this->held.erase(workspace);
+        this->meanHeld.recordReply(this->now - startedAt, this->now);
+        this->serve();
+    }
+
+    void serve()
+    {
+        while (this->ends.size() < places) {
+            auto item = this->queue.next(places, this->held, always);
+            if (!item)
+                break;
+            this->queue.take(item, this->now);
+            this->queued.erase(item);
+            ++this->held[item->workspace];
+            Class& served = this->classes[item->priority];
+            ++served.served;
+            std::lognormal_distribution<double> work(std::log(served.workMs) - 0.125, 0.5);
+            double took = work(this->random);
+            this->busyMs += took;
+            this->ends.emplace(this->now + ms(took), std::pair(this->now, item->workspace));
+        }
+    }
+
+    double servedShare(std::size_t priority) const
+    {
+        return this->classes[priority].served / this->classes[priority].arrived;
+    }
+
+    std::array<Class, 3> classes { { { 0, 0.13, 11, 50 }, { 1, 0.63, 33, 100 }, { 2, 0.24, 55, 375 } } };
+    std::mt19937 random;
+    MemberQueue queue;
+    std::set<MemberQueue::Item> queued;
+    MemberQueue::Held held;
+    ConcurrencyLimit meanHeld;
+    std::multimap<TimePoint, std::pair<TimePoint, std::string>> ends;
+    std::vector<double> refusedAfterMs;
+    TimePoint now = start;
+    Duration length { 0 };
+    double busyMs = 0;
+};
+
+} // namespace
+
+// Guards against a queue that refuses late, that leaves the member idle, or that serves the urgent statements worst.
+TEST(MemberQueue, UnderOverloadKeepsTheMemberBusyAndRefusesAtOnce)
+{
+    for (unsigned seed : { 1, 2, 3 }) {
+        Overload overload(seed);
+        overload.run(2, std::chrono::seconds(60));
+        EXPECT_GE(overload.busyMs / (60000 * Overload::places), 0.9);
+        EXPECT_GE(overload.servedShare(0), 0.9);
+        EXPECT_GE(overload.servedShare(0), overload.servedShare(1));
+        EXPECT_GE(overload.servedShare(2), 0.05);
+        auto& refused = overload.refusedAfterMs;
+        std::nth_element(
+            refused.begin(), refused.begin() + static_cast<std::ptrdiff_t>(refused.size() / 2), refused.end());
+        EXPECT_LT(refused[refused.size() / 2], 20);
+    }
+}
--- a/src/libsession/member_choice.cpp
+++ b/src/libsession/member_choice.cpp
@@ -1,5 +1,6 @@
 #include "libsession/member_choice.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace catkinlock {
@@ -54,11 +55,18 @@
 
 } // namespace
 
+bool replicaServes(const std::vector<MemberLoad>& loads)
+{
+    return std::any_of(loads.begin(), loads.end(),
+        [](const MemberLoad& load) { return !load.isPrimary && !load.seemsBehind && !load.isSuspect; });
+}
+
 std::optional<std::size_t> chooseMember(const std::vector<MemberLoad>& loads)
 {
     std::optional<std::size_t> best;
+    bool leaveOutReserved = replicaServes(loads);
     for (std::size_t i = 0; i < loads.size(); ++i) {
-        if (loads[i].wasTried)
+        if (loads[i].wasTried || (loads[i].isReserved && leaveOutReserved))
             continue;
         if (!best || isPreferred(loads[i], loads[*best]))
             best = i;
--- a/src/libsession/member_choice.h
+++ b/src/libsession/member_choice.h
@@ -34,6 +34,8 @@
     /// The member would probably refuse the read: its log is behind the required position, or its lag exceeds the
     /// read's maximum age.
     bool seemsBehind = false;
+    /// The member is the primary, and the statements that only it can run need its places.
+    bool isReserved = false;
     /// The statement was already tried on this member.
     bool wasTried = false;
     /// Decides between members of the same expected time; the least one is chosen. Differs from instance to instance:
@@ -46,6 +48,10 @@
 
 /// Index of a member that needs a probe and can run the statement at once; else of the member with the least expected
 /// time, and among equal ones with the least `tieBreak`. std::nullopt if the list is empty or every member was tried.
+/// A reserved primary is left out if a replica can serve the read, even one that was tried already.
 std::optional<std::size_t> chooseMember(const std::vector<MemberLoad>&);
 
+/// True if a replica can serve the read now or when it has a free place.
+bool replicaServes(const std::vector<MemberLoad>&);
+
 } // namespace catkinlock
--- a/src/libsession/placement_test.cpp
+++ b/src/libsession/placement_test.cpp
@@ -155,6 +155,38 @@
     EXPECT_EQ(chooseMember({ behind, primary }), 1u);
 }
 
+// Guards against writers that wait while reads use the primary's places, and against reads that fail although only the
+// primary can serve them.
+TEST(MemberChoice, UsesAReservedPrimaryOnlyIfNoReplicaCanServe)
+{
+    MemberLoad primary;
+    primary.isPrimary = true;
+    primary.isReserved = true;
+    MemberLoad replica;
+    replica.inFlight = 9;
+    EXPECT_EQ(chooseMember({ primary, replica }), 1u);
+    replica.wasTried = true;
+    EXPECT_EQ(chooseMember({ primary, replica }), std::nullopt);
+    replica.seemsBehind = true;
+    EXPECT_EQ(chooseMember({ primary, replica }), 0u);
+    EXPECT_EQ(chooseMember({ primary }), 0u);
+}
+
+// A probe that had to wait would make its caller pay for what the gateway learns.
+TEST(MemberChoice, SendsAProbeOnlyWhereItRunsAtOnce)
+{
+    MemberLoad slow;
+    slow.responseTime = Milliseconds(100);
+    slow.needsProbe = true;
+    MemberLoad fast;
+    EXPECT_EQ(chooseMember({ slow, fast }), 0u);
+    slow.atSendLimit = true;
+    EXPECT_EQ(chooseMember({ slow, fast }), 1u);
+    slow.atSendLimit = false;
+    slow.isSuspect = true;
+    EXPECT_EQ(chooseMember({ slow, fast }), 1u);
+}
+
 TEST(MemberChoice, HasNothingLeftOnceAllWereTried)
 {
     MemberLoad tried;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -551,7 +551,8 @@
     ++this->attempts;
     this->memberId = placement.pool->target().id;
     TimePoint waitUntil = std::min(deadline, call.endOfCapacityWait(Clock::now()));
-    auto link = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil);
+    auto link
+        = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil, placement.isReplaceable);
     Attempt attempt;
     if (!link) {
         attempt.reply.error = link.error().refusal.value_or(StatementError::Busy);
@@ -642,7 +643,8 @@
         this->memberId = placement->pool->target().id;
         tried.insert(this->memberId);
         TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
-        auto link = co_await placement->pool->borrow(call.workspace, call.route.priority, waitUntil);
+        auto link = co_await placement->pool->borrow(
+            call.workspace, call.route.priority, waitUntil, placement->isReplaceable);
         if (!link) {
             failure.errorText = link.error().message;
             continue;
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -195,6 +195,7 @@
             continue;
         MemberLoad load = pool->load(requirements.workspace, requirements.work, now);
         load.isPrimary = isPrimary;
+        load.isReserved = isPrimary && pool->isReserved(now);
         load.sameDataCentre = target.dataCentre == this->dataCentre;
         load.wasTried = tried.count(target.id) != 0;
         load.tieBreak = stableHash(target.id, workspaceSeed);
@@ -208,7 +209,8 @@
         return std::nullopt;
     pools[*choice]->recordSent(now);
     bool isPrimary = loads[*choice].isPrimary;
-    return Placement { pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary };
+    return Placement { pools[*choice], isPrimary ? std::nullopt : minPosition, isPrimary,
+        isPrimary && replicaServes(loads) };
 }
 
 SentRequest TargetGroups::requestTo(const FleetView& view, std::shared_ptr<TargetPool> pool, TimePoint now) const
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -24,6 +24,8 @@
     /// The member refuses the statement unless its log has reached this position; std::nullopt for the primary.
     std::optional<Position> after;
     bool isPrimary = false;
+    /// The member is the primary, but a replica can serve the statement too.
+    bool isReplaceable = false;
 };
 
 /// A request that was sent to a member.
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -41,16 +41,13 @@
 
 } // namespace
 
-struct TargetPool::Waiter {
-    Waiter(const asio::any_io_executor& executor, std::string workspace, std::uint32_t priority)
-        : timer(executor)
-        , workspace(std::move(workspace))
-        , priority(priority)
+struct TargetPool::Waiter : QueuedStatement {
+    Waiter(const asio::any_io_executor& executor, QueuedStatement statement)
+        : QueuedStatement(std::move(statement))
+        , timer(executor)
     {
     }
     asio::steady_timer timer;
-    std::string workspace;
-    std::uint32_t priority;
     std::shared_ptr<TargetLink> link;
     // Returned to the statement if it gets no connection.
     LinkFailure failure { false, StatementError::Busy, "all connections to the member are in use" };
@@ -120,13 +117,10 @@
 
 std::shared_ptr<TargetPool::Waiter> TargetPool::takeWaiter(const std::string& workspace)
 {
-    auto found = std::find_if(this->waiters.begin(), this->waiters.end(),
-        [&workspace](const auto& waiter) { return waiter->workspace == workspace; });
-    if (found == this->waiters.end())
-        return nullptr;
-    auto waiter = *found;
-    this->waiters.erase(found);
-    return waiter;
+    auto item = this->waiters.frontOf(workspace);
+    if (item)
+        this->waiters.take(item, Clock::now());
+    return std::static_pointer_cast<Waiter>(item);
 }
 
 // True if a new connection is worth opening for the workspace. Opening one occupies the member for as long as a short
@@ -136,9 +130,7 @@
     auto found = this->inUseByWorkspace.find(workspace);
     std::size_t inUseCount = found == this->inUseByWorkspace.end() ? 0 : found->second;
     // Includes the statement that the connection would be opened for if it is in the queue already.
-    auto waitingCount = static_cast<std::size_t>(std::count_if(this->waiters.begin(), this->waiters.end(),
-        [&workspace](const auto& waiter) { return waiter->workspace == workspace; }));
-    return waitingCount >= inUseCount * waitersPerConnection;
+    return this->waiters.sizeOf(workspace) >= inUseCount * waitersPerConnection;
 }
 
 void TargetPool::startOpening(const std::string& workspace)
@@ -191,44 +183,94 @@
     auto self = this->shared_from_this();
     asio::steady_timer timer(this->executor, openRetryDelay);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (this->hasWaiter(workspace) && this->hasCapacity())
+    if (this->waiters.sizeOf(workspace) && this->hasCapacity())
         this->startOpening(workspace);
 }
 
-bool TargetPool::hasWaiter(const std::string& workspace) const
+bool TargetPool::hasIdle(const std::string& workspace) const
 {
-    return std::any_of(this->waiters.begin(), this->waiters.end(),
-        [&workspace](const auto& waiter) { return waiter->workspace == workspace; });
+    return std::any_of(this->idle.begin(), this->idle.end(),
+        [&workspace](const IdleLink& item) { return item.link->workspace() == workspace; });
 }
 
 asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> TargetPool::borrow(
-    std::string workspace, std::uint32_t priority, TimePoint deadline)
+    std::string workspace, std::uint32_t priority, TimePoint deadline, bool replaceable)
 {
     auto self = this->shared_from_this();
+    this->replaceableReads += replaceable;
+    TimePoint now = Clock::now();
+    // Without a limit of the whole fleet, an instance knows too little of the queue for an order by time left.
+    QueuedStatement statement { std::move(workspace), priority, now, this->demandShare ? deadline : now, {} };
+    auto waiter = std::make_shared<Waiter>(this->executor, std::move(statement));
+    bool served = co_await this->waitForLink(waiter, deadline);
+    if (served && replaceable)
+        this->lentReplaceably.insert(waiter->link.get());
+    if (!served)
+        this->replaceableReads -= replaceable;
+    this->recordNeed(Clock::now());
+    if (served)
+        co_return waiter->link;
+    co_return tl::unexpected(waiter->failure);
+}
+
+// Gives the waiter a connection, or its failure. False if it got none.
+asio::awaitable<bool> TargetPool::waitForLink(std::shared_ptr<Waiter> waiter, TimePoint deadline)
+{
     if (this->hasCapacity()) {
-        if (auto link = this->takeIdle(workspace))
-            co_return link;
-        if (this->shouldOpen(workspace))
-            this->startOpening(workspace);
+        waiter->link = this->takeIdle(waiter->workspace);
+        if (waiter->link)
+            co_return true;
+        if (this->shouldOpen(waiter->workspace))
+            this->startOpening(waiter->workspace);
+    } else if (!this->isWorthQueueing(*waiter, deadline, Clock::now())) {
+        ++this->refusedEarlyCount;
+        waiter->failure.message = "the member is busy for longer than the statement may wait";
+        co_return false;
     }
-    auto waiter = std::make_shared<Waiter>(this->executor, workspace, priority);
-    auto insertionPoint = std::find_if(this->waiters.begin(), this->waiters.end(),
-        [priority](const auto& other) { return other->priority > priority; });
-    this->waiters.insert(insertionPoint, waiter);
-    Duration firstWait = std::min<Duration>(deadline - Clock::now(), maxWaitBeforeOpening);
-    waiter->timer.expires_after(firstWait);
+    this->waiters.add(waiter);
+    this->recordNeed(Clock::now());
+    waiter->timer.expires_after(this->waitBeforeOpening(deadline - Clock::now()));
     auto [cancelled] = co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     if (!cancelled && Clock::now() < deadline) {
         // The lent connections may be bound to idle transactions and not come back soon.
         if (this->hasCapacity())
-            this->startOpening(workspace);
+            this->startOpening(waiter->workspace);
         waiter->timer.expires_after(deadline - Clock::now());
         co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    if (waiter->link)
-        co_return waiter->link;
-    this->waiters.remove(waiter);
-    co_return tl::unexpected(waiter->failure);
+    this->waiters.expire(waiter, Clock::now());
+    co_return waiter->link != nullptr;
+}
+
+// A gateway leaves half of the wait for the opening: short waits would otherwise end while the connection is opened.
+Duration TargetPool::waitBeforeOpening(Duration wait) const
+{
+    return std::min<Duration>(this->demandShare ? wait / 2 : wait, maxWaitBeforeOpening);
+}
+
+// True if a statement that finds no free place will probably be served in time.
+bool TargetPool::isWorthQueueing(QueuedStatement& statement, TimePoint deadline, TimePoint now) const
+{
+    if (!this->demandShare)
+        return true;
+    std::size_t before = this->waiters.countBefore(statement.priority, statement.rank);
+    statement.expectedWait = MemberQueue::expectedWait(before, this->places(now), this->limit.meanResponse());
+    return this->waiters.isServedInTime(statement, deadline - now, now);
+}
+
+// Records how many of the statements here need this member.
+void TargetPool::recordNeed(TimePoint now)
+{
+    if (!this->demandShare)
+        return;
+    MemberDemand all = this->demand(now);
+    std::size_t count = all.running + all.waiting;
+    this->reserve.record(count - std::min(count, this->replaceableReads), now);
+}
+
+bool TargetPool::isReserved(TimePoint now) const
+{
+    return this->demandShare && !this->reserve.admitsRead(this->replaceableReads, this->places(now), now);
 }
 
 // Records that a connection has ended, and serves a waiting statement in its place.
@@ -268,18 +310,12 @@
         this->demandShare->recordReport(sender, sentAtMs, reported, now);
 }
 
-void TargetPool::serveWaiting()
-{
-    std::size_t waitingBefore = 0;
-    do {
-        waitingBefore = this->waiters.size();
-        this->serveNext();
-    } while (this->waiters.size() < waitingBefore);
-}
+void TargetPool::serveWaiting() { this->serveNext(); }
 
 void TargetPool::recordIdleInTransaction(bool becomesIdle)
 {
     this->idleInTransaction += becomesIdle ? 1 : -1;
+    this->recordNeed(Clock::now());
     if (becomesIdle)
         this->serveNext();
 }
@@ -287,6 +323,8 @@
 // Gives an idle connection to the first waiting statement, or opens one for it, if the send window allows.
 void TargetPool::serveNext()
 {
+    if (this->demandShare)
+        return this->serveByOrder();
     if (this->waiters.empty() || !this->hasCapacity())
         return;
     std::string workspace = this->waiters.front()->workspace;
@@ -296,14 +334,49 @@
             this->startOpening(workspace);
         return;
     }
-    auto waiter = this->takeWaiter(workspace);
-    waiter->link = std::move(link);
-    waiter->timer.cancel();
+    this->give(this->waiters.frontOf(workspace), std::move(link));
+}
+
+// Gives a waiting statement a connection, which counts as lent already.
+void TargetPool::give(const MemberQueue::Item& item, std::shared_ptr<TargetLink> link)
+{
+    this->waiters.take(item, Clock::now());
+    Waiter& waiter = static_cast<Waiter&>(*item);
+    waiter.link = std::move(link);
+    waiter.timer.cancel();
+}
+
+// True if a connection of the statement's workspace is idle or can be opened.
+bool TargetPool::canServe(const QueuedStatement& statement) const
+{
+    if (this->hasIdle(statement.workspace))
+        return true;
+    bool canOpen = this->connectionCount < this->connectionLimit()
+        || (this->connectionCount == this->connectionLimit() && !this->idle.empty());
+    return canOpen && this->shouldOpen(statement.workspace);
+}
+
+// Gives the free places to waiting statements in the order of the queue, passing over those of workspaces without a
+// connection.
+void TargetPool::serveByOrder()
+{
+    while (!this->waiters.empty() && this->hasCapacity()) {
+        auto item = this->waiters.next(this->places(Clock::now()), this->inUseByWorkspace,
+            [this](const QueuedStatement& statement) { return this->canServe(statement); });
+        if (!item)
+            return;
+        if (auto link = this->takeIdle(item->workspace))
+            this->give(item, std::move(link));
+        else
+            this->startOpening(item->workspace);
+    }
 }
 
 void TargetPool::release(std::shared_ptr<TargetLink> link)
 {
+    this->replaceableReads -= this->lentReplaceably.erase(link.get());
     this->recordReturned(link->workspace());
+    this->recordNeed(Clock::now());
     if (link->isOpen() && link->state() == TransactionState::Idle && this->connectionCount <= this->connectionLimit())
         return this->makeAvailable(std::move(link));
     link->close();
@@ -319,13 +392,10 @@
 
 void TargetPool::makeAvailable(std::shared_ptr<TargetLink> link)
 {
-    if (this->hasCapacity()) {
-        if (auto waiter = this->takeWaiter(link->workspace())) {
-            ++this->inUseByWorkspace[link->workspace()];
-            waiter->link = std::move(link);
-            waiter->timer.cancel();
-            return;
-        }
+    auto next = this->demandShare || !this->hasCapacity() ? nullptr : this->waiters.frontOf(link->workspace());
+    if (next) {
+        ++this->inUseByWorkspace[link->workspace()];
+        return this->give(next, std::move(link));
     }
     this->idle.push_back({ std::move(link), Clock::now() });
     // The member is at its connection limit, so unused connections are closed to let other instances connect.
@@ -436,8 +506,7 @@
         load.inFlight -= std::min(load.inFlight, this->idleInTransaction);
         load.maxConcurrentStatements = this->places(now);
     }
-    load.hasIdleConnection = std::any_of(this->idle.begin(), this->idle.end(),
-        [&workspace](const IdleLink& item) { return item.link->workspace() == workspace; });
+    load.hasIdleConnection = this->hasIdle(workspace);
     load.atSendLimit = !this->hasCapacity() || (!load.hasIdleConnection && this->inUse() >= this->connectionLimit());
     load.isSuspect = this->recorder.isSuspect(now);
     return load;
--- a/src/libsession/target_pool.h
+++ b/src/libsession/target_pool.h
@@ -7,16 +7,18 @@
 #include "libsession/demand_share.h"
 #include "libsession/health_recorder.h"
 #include "libsession/member_choice.h"
+#include "libsession/member_queue.h"
+#include "libsession/primary_reserve.h"
 #include "libsession/send_window.h"
 #include "libsession/work_kind.h"
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <deque>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -49,10 +51,11 @@
     TargetPool(boost::asio::any_io_executor, std::shared_ptr<const TargetProtocol>, TargetRecord);
 
     /// Lends a connection for `workspace`. Opens one, or waits until `deadline` for one to be returned. Lower values of
-    /// `priority` are served first. Fails with the refusal `StatementError::Busy` if none is available by `deadline`,
-    /// or with the failure of an attempt to open one.
+    /// `priority` are served first. `replaceable`: other members can serve the statement too. Fails with the refusal
+    /// `StatementError::Busy` if none is available by `deadline`, or with the failure of an attempt to open one. A
+    /// gateway refuses at once what it can't serve by `deadline`.
     boost::asio::awaitable<tl::expected<std::shared_ptr<TargetLink>, LinkFailure>> borrow(
-        std::string workspace, std::uint32_t priority, TimePoint deadline);
+        std::string workspace, std::uint32_t priority, TimePoint deadline, bool replaceable = false);
     /// Returns a connection to the pool. It is discarded if it is closed or in a transaction (open or failed), or if
     /// the pool has more connections than it may have now.
     void release(std::shared_ptr<TargetLink>);
@@ -101,6 +104,8 @@
     void recordDemand(const std::string& sender, std::int64_t sentAtMs, const MemberDemand&, TimePoint now);
     /// This instance's demand at the member.
     MemberDemand demand(TimePoint now) const;
+    /// True if the statements that need this member, a primary, leave no place for a read that others can serve too.
+    bool isReserved(TimePoint now) const;
     bool isGateway() const { return this->demandShare.has_value(); }
     /// Statements that this instance may have at the member now.
     std::size_t places(TimePoint now) const;
@@ -130,6 +135,8 @@
     std::size_t inUse() const { return this->connectionCount - this->idle.size(); }
     /// Statements that wait for a connection.
     std::size_t waiting() const { return this->waiters.size(); }
+    /// Statements since the start that were refused at once because they would not have been served in time.
+    std::uint64_t refusedEarly() const { return this->refusedEarlyCount; }
     /// Attempts at opening a connection since the start.
     std::uint64_t handshakes() const { return this->handshakeCount; }
 
@@ -143,7 +150,14 @@
     boost::asio::awaitable<void> openFor(std::string workspace);
     boost::asio::awaitable<void> openAfterDelay(std::string workspace);
     bool isConnectionLimited() const;
-    bool hasWaiter(const std::string& workspace) const;
+    bool canServe(const QueuedStatement&) const;
+    bool hasIdle(const std::string& workspace) const;
+    bool isWorthQueueing(QueuedStatement&, TimePoint deadline, TimePoint now) const;
+    Duration waitBeforeOpening(Duration wait) const;
+    boost::asio::awaitable<bool> waitForLink(std::shared_ptr<Waiter>, TimePoint deadline);
+    void recordNeed(TimePoint now);
+    void give(const MemberQueue::Item&, std::shared_ptr<TargetLink>);
+    void serveByOrder();
     bool hasCapacity() const;
     void serveNext();
     bool shouldOpen(const std::string& workspace) const;
@@ -175,10 +189,15 @@
     std::size_t connectionCount = 0;
     // Idle connections, the longest idle first.
     std::deque<IdleLink> idle;
-    // Statements that wait for a connection, lowest priority value first, then in order of arrival.
-    std::list<std::shared_ptr<Waiter>> waiters;
+    // Statements that wait for a connection; each is a Waiter.
+    MemberQueue waiters;
     // Connections that are lent or being opened, by workspace.
-    std::map<std::string, std::size_t> inUseByWorkspace;
+    MemberQueue::Held inUseByWorkspace;
+    // Reads that others can serve too and that run or wait here, and the connections that such reads hold.
+    std::size_t replaceableReads = 0;
+    std::set<const TargetLink*> lentReplaceably;
+    PrimaryReserve reserve;
+    std::uint64_t refusedEarlyCount = 0;
     HealthRecorder recorder;
     Position position;
     // Moving average of the response time of statements at the member.
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -1,5 +1,6 @@
 // Tests of an instance's pool of connections, against a stand-in member.
 
+#include "libsession/member_speed.h"
 #include "libsession/target_groups.h"
 #include "libsession/target_link.h"
 #include "libsession/target_pool.h"
@@ -176,6 +177,84 @@
     });
 }
 
+// A refusal at the end of the wait would cost the caller the time to try elsewhere.
+TEST(TargetPool, AGatewayRefusesAtOnceWhatItCannotServeInTime)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 1;
+    auto pool = fixture.pool(0);
+    pool->setSpeed(std::make_shared<MemberSpeed>());
+    pool->setGatewayShare({ 8, "a", {} }, Clock::now());
+    pool->recordSpeed({}, std::chrono::seconds(2), false, Clock::now());
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto first = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_TRUE(first);
+        asio::steady_timer limit(fixture.context, std::chrono::seconds(1));
+        bool limitPassed = false;
+        limit.async_wait([&](boost::system::error_code error) { limitPassed = !error; });
+        auto refused = co_await pool->borrow("tours", 1, Clock::now() + Milliseconds(1500));
+        EXPECT_FALSE(refused);
+        EXPECT_EQ(refused.error().refusal, StatementError::Busy);
+        EXPECT_FALSE(limitPassed);
+        EXPECT_EQ(pool->refusedEarly(), 1u);
+        limit.cancel();
+        pool->release(*first);
+    });
+}
+
+// Guards against a place that stays free because the first statement in the queue can't use it, and against a lower
+// priority that is served first because it came first.
+TEST(TargetPool, AGatewayServesItsQueueByPriority)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 1;
+    auto pool = fixture.pool(0);
+    pool->setGatewayShare({ 8, "a", {} }, Clock::now());
+    std::vector<std::string> order;
+    auto use = [&](std::string workspace, std::uint32_t priority) -> asio::awaitable<void> {
+        auto link = co_await pool->borrow(workspace, priority, farDeadline());
+        EXPECT_TRUE(link);
+        order.push_back(workspace);
+        pool->release(*link);
+    };
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto first = co_await pool->borrow("first", 1, farDeadline());
+        EXPECT_TRUE(first);
+        asio::co_spawn(fixture.context, use("low", 2), asio::detached);
+        asio::co_spawn(fixture.context, use("high", 0), asio::detached);
+        asio::steady_timer timer(fixture.context, Milliseconds(5));
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        EXPECT_EQ(pool->waiting(), 2u);
+        pool->release(*first);
+        while (order.size() < 2) {
+            timer.expires_after(Milliseconds(5));
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        EXPECT_EQ(order, (std::vector<std::string> { "high", "low" }));
+    });
+}
+
+// Reads that replicas can serve must leave a primary the places that its writers use.
+TEST(TargetPool, AGatewayReservesThePlacesThatWritersUse)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 2;
+    auto pool = fixture.pool(0);
+    pool->setGatewayShare({ 8, "a", {} }, Clock::now());
+    fixture.run([&]() -> asio::awaitable<void> {
+        EXPECT_FALSE(pool->isReserved(Clock::now()));
+        auto write = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_TRUE(write);
+        EXPECT_FALSE(pool->isReserved(Clock::now() + std::chrono::seconds(3)));
+        auto read = co_await pool->borrow("museum", 1, farDeadline(), true);
+        EXPECT_TRUE(read);
+        EXPECT_TRUE(pool->isReserved(Clock::now() + std::chrono::seconds(3)));
+        pool->release(*read);
+        pool->release(*write);
+        EXPECT_FALSE(pool->isReserved(Clock::now() + std::chrono::seconds(3)));
+    });
+}
+
 // A pool that didn't learn of a new term would go on counting the failures of the last one, and one that belonged to
 // another term than the view would count for nothing.
 TEST(TargetGroups, StartsThePrimarysHealthAnewWhenTheViewNamesItForANewTerm)
@@ -232,3 +311,43 @@
     ASSERT_EQ(groups.latestPositions().count("orders"), 1u);
     EXPECT_EQ(groups.latestPositions().at("orders").position, (Position { 2, 110 }));
 }
+
+// Guards against reports that go to instances that are no gateways, and reports that change no share.
+TEST(TargetGroups, ExchangesDemandWithTheOtherGatewaysOfAService)
+{
+    PoolFixture fixture;
+    fixture.record.maxConcurrentStatements = 4;
+    FleetView view;
+    view.serial = 1;
+    view.targets.set(fixture.record);
+    view.instances["i"] = { "10.0.0.1:7000", "here", 1 };
+    view.instances["j"] = { "10.0.0.2:7000", "here", 1 };
+    Tables tables;
+    tables.pools["orders"].databases.resize(1);
+    tables.pools["orders"].databases[0].connections = 5;
+    view.tables = std::make_shared<const Tables>(tables);
+    auto freshness = std::make_shared<ViewFreshness>(Milliseconds(2000));
+    TargetGroups groups(fixture.context.get_executor(), fixture.protocol, freshness, "i", "here");
+    TimePoint now = Clock::now();
+    groups.refresh(view, now);
+    ASSERT_TRUE(groups.usesGateways("orders"));
+    auto demands = groups.demands(now);
+    ASSERT_EQ(demands.size(), 1u);
+    EXPECT_EQ(demands[0].peers, std::vector<std::string> { "10.0.0.2:7000" });
+    ASSERT_EQ(demands[0].members.size(), 1u);
+    EXPECT_TRUE(demands[0].members[0].isIdle());
+    DemandReport report { 1, demands[0].members };
+    report.members[0].running = 3;
+    groups.recordDemand("10.0.0.2:7000", report, now);
+    EXPECT_EQ(groups.pools().at("m")->places(now), 1u);
+    // A member that is left out has no demand.
+    groups.recordDemand("10.0.0.2:7000", { 2, {} }, now);
+    EXPECT_EQ(groups.pools().at("m")->places(now), 4u);
+    // An instance that isn't a gateway any more has no share.
+    view.serial = 2;
+    tables.pools["orders"].databases[0].connections = 100;
+    view.tables = std::make_shared<const Tables>(tables);
+    groups.refresh(view, now);
+    EXPECT_TRUE(groups.demands(now).empty());
+    EXPECT_FALSE(groups.pools().at("m")->isGateway());
+}
