--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -71,6 +71,7 @@
     constexpr Milliseconds peerLearningInterval { 300 };
     // Only tokens depend on a slot here, and a new holder allows for the grants of the last one.
     constexpr Milliseconds slotReleaseDelay { 150 };
+    constexpr double slownessPercent = 100;
     // Seed of the hash by which the instances' times are spread.
     constexpr std::uint64_t spreadSeed = 0x737072656164;
 
@@ -499,6 +500,7 @@
     auto count = [](auto value) { return static_cast<double>(value); };
     this->level->sample(Clock::now());
     TokenTraffic tokens = this->admission->tokenTraffic();
+    const CapacityLevel& capacity = this->sessions->groups->capacity();
     std::vector<Metric> metrics {
         { "sessions", "Open sessions", count(this->sessions->sessions.load()) },
         { "statements_total", "Statements of callers", count(this->sessions->statements.load()), true },
@@ -526,6 +528,14 @@
             count(this->sessions->statementForwarder->lost()), true },
         { "gateway_operations", "Writes and transactions in progress here for other instances",
             count(this->statementService->open()) },
+        { "member_places", "Statements that this instance may have at members as a gateway",
+            count(capacity.places.load()) },
+        { "member_places_in_use", "Statements that it has there", count(capacity.placesInUse.load()) },
+        { "member_queue", "Statements that wait here for a place at a member", count(capacity.waiting.load()) },
+        { "refused_early_total", "Statements refused at once because no place would have been free in time",
+            count(capacity.refusedEarly.load()), true },
+        { "member_slowness_max", "Greatest ratio of a member's response time to that of its service's fastest",
+            count(capacity.maxSlownessPercent.load()) / slownessPercent },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
     };
     return { 200, renderMetrics(metrics, *this->level) };
--- a/src/libsession/member_capacity_test.cpp
+++ b/src/libsession/member_capacity_test.cpp
@@ -6,6 +6,7 @@
 #include "libsession/demand_share.h"
 #include "libsession/member_queue.h"
 #include "libsession/primary_reserve.h"
+#include "libsession/slowness_watch.h"
 #include <array>
 #include <cmath>
 #include <deque>
@@ -593,3 +594,25 @@
         EXPECT_LT(refused[refused.size() / 2], 20);
     }
 }
+
+// A log line for each short deviation would hide the members that are slow.
+TEST(SlownessWatch, ReportsLastingChangesOnce)
+{
+    SlownessWatch watch;
+    TimePoint now = start;
+    auto play = [&](double slowness, int times) {
+        std::vector<bool> changes;
+        for (int i = 0; i < times; ++i) {
+            now += Milliseconds(200);
+            if (auto change = watch.record("m", slowness, now))
+                changes.push_back(*change);
+        }
+        return changes;
+    };
+    EXPECT_TRUE(play(1.2, 20).empty());
+    EXPECT_TRUE(play(3, 4).empty());
+    EXPECT_TRUE(play(1.2, 1).empty());
+    EXPECT_EQ(play(3, 30), (std::vector<bool> { true }));
+    EXPECT_TRUE(play(1.6, 30).empty());
+    EXPECT_EQ(play(1.2, 30), (std::vector<bool> { false }));
+}
--- a/src/libsession/target_groups.cpp
+++ b/src/libsession/target_groups.cpp
@@ -1,10 +1,12 @@
 #include "libsession/target_groups.h"
 
+#include "catkinlock/log.h"
 #include "catkinlock/rendezvous.h"
 #include "libsession/gateway_choice.h"
 #include "libsession/member_speed.h"
 #include "libsession/target_link.h"
 #include <algorithm>
+#include <fmt/format.h>
 #include <random>
 
 namespace catkinlock {
@@ -47,6 +49,7 @@
             continue;
         }
         it->second->closeAll();
+        this->refusedEarlyBefore += it->second->refusedEarly();
         it = this->poolById.erase(it);
     }
     std::size_t instances = std::max<std::size_t>(view.instances.size(), 1);
@@ -287,6 +290,52 @@
 {
     for (const auto& [id, pool] : this->poolById)
         pool->closeIdle(now);
+    this->watchSpeeds(now);
+    this->updateCapacity(now);
+}
+
+void TargetGroups::watchSpeeds(TimePoint now)
+{
+    double greatest = 1;
+    std::set<std::string> watched;
+    for (const auto& [id, pool] : this->poolById) {
+        auto speed = this->speeds.find(pool->target().service);
+        if (speed == this->speeds.end())
+            continue;
+        watched.insert(id);
+        double slowness = speed->second->slowness(id);
+        greatest = std::max(greatest, slowness);
+        auto change = this->slownessWatch.record(id, slowness, now);
+        if (change && this->slownessLines.take(now))
+            writeLog(LogLevel::Info, *change ? "member_slowed" : "member_recovered",
+                { { "member", id }, { "service", pool->target().service },
+                    { "slowness", fmt::format("{:.1f}", slowness) },
+                    { "lines_left_out", fmt::format("{}", this->slownessLines.omitted()) } });
+    }
+    this->slownessWatch.keepOnly(watched);
+    constexpr double percent = 100;
+    this->capacityLevel.maxSlownessPercent = static_cast<std::uint64_t>(greatest * percent);
+}
+
+void TargetGroups::updateCapacity(TimePoint now)
+{
+    std::uint64_t inUse = 0;
+    std::uint64_t places = 0;
+    std::uint64_t waiting = 0;
+    std::uint64_t refusedEarly = this->refusedEarlyBefore;
+    for (const auto& [id, pool] : this->poolById) {
+        refusedEarly += pool->refusedEarly();
+        if (!pool->isGateway())
+            continue;
+        MemberDemand demand = pool->demand(now);
+        inUse += demand.running;
+        waiting += demand.waiting;
+        places += pool->places(now);
+    }
+    this->capacityLevel.placesInUse = inUse;
+    this->capacityLevel.places = places;
+    this->capacityLevel.waiting = waiting;
+    this->capacityLevel.refusedEarly = refusedEarly;
 }
 
 void TargetGroups::closeAll()
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "catkinlock/line_budget.h"
 #include "catkinlock/position.h"
 #include "catkinlock/tables.h"
+#include "libsession/capacity_level.h"
 #include "libsession/fleet_view.h"
 #include "libsession/member_demand.h"
 #include "libsession/position_window.h"
+#include "libsession/slowness_watch.h"
 #include "libsession/target_pool.h"
 #include "libsession/view_freshness.h"
 #include "libsession/work_kind.h"
@@ -61,6 +64,9 @@
     MemberHealth health;
 };
 
+/// Log lines about members that turned slow or have recovered.
+inline constexpr std::uint32_t maxSlownessLinesPerSecond = 2;
+
 /// Connections, health and log positions of the members of all groups. Chooses the member for each statement. Runs on
 /// the request thread.
 class TargetGroups {
@@ -105,8 +111,10 @@
     std::vector<ServiceDemand> demands(TimePoint now) const;
     /// Records the demand that another gateway reported. `sender`: its address.
     void recordDemand(const std::string& sender, const DemandReport&, TimePoint now);
-    /// Closes connections that have been idle for long. To be called periodically.
+    /// Closes connections that have been idle for long, logs members that turned slow or recovered, and updates
+    /// `capacity`. To be called several times a second.
     void runMaintenance(TimePoint now);
+    const CapacityLevel& capacity() const { return this->capacityLevel; }
     void closeAll();
     const std::map<std::string, std::shared_ptr<TargetPool>>& pools() const { return this->poolById; }
 
@@ -116,6 +124,8 @@
         const FleetView&, const std::string& service, std::size_t connections) const;
     void shareSpeed(const FleetView&, const std::string& service);
     std::shared_ptr<TargetPool> poolOf(const std::string& id) const;
+    void watchSpeeds(TimePoint now);
+    void updateCapacity(TimePoint now);
 
     boost::asio::any_io_executor executor;
     std::shared_ptr<const TargetProtocol> protocol;
@@ -129,6 +139,11 @@
     std::map<std::string, std::vector<std::string>> gatewayPeers;
     // Speeds of the members of these services, by service.
     std::map<std::string, std::shared_ptr<MemberSpeed>> speeds;
+    SlownessWatch slownessWatch;
+    LineBudget slownessLines { maxSlownessLinesPerSecond };
+    CapacityLevel capacityLevel;
+    // Early refusals at members that are no longer listed.
+    std::uint64_t refusedEarlyBefore = 0;
     // Serial of the view that was applied last.
     std::uint64_t viewSerial = 0;
     std::map<std::string, std::shared_ptr<TargetPool>> poolById;
