--- a/src/libsession/demand_share.cpp
+++ b/src/libsession/demand_share.cpp
@@ -87,8 +87,7 @@
 {
     Sum all = this->sum(own, now);
     auto gateways = static_cast<double>(this->peers.size() + 1);
-    double divided
-        = static_cast<double>(slots) * all.weight / all.demand * (1 - static_cast<double>(all.silent) / gateways);
+    double divided = this->limit(slots, own, now) * (1 - static_cast<double>(all.silent) / gateways);
     double unit = divided / all.weight;
     double share = demandOf(own) * stretchOf(own) * unit;
     // Whole places: what is left after rounding down goes to the greatest remainders, so that the shares add up.
