--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -95,6 +95,12 @@
         auto refused = co_await first->borrow("museum", 1, Clock::now() + Milliseconds(60));
         EXPECT_FALSE(refused);
         first->release(*held);
+        // An opening for the refused statement may still be under way.
+        asio::steady_timer timer(fixture.context);
+        while (first->inUse()) {
+            timer.expires_after(Milliseconds(1));
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         EXPECT_EQ(first->open(), 0u);
         auto link = co_await second->borrow("museum", 1, farDeadline());
         EXPECT_TRUE(link);
