Play forwarded operations in the soak

The members of one of the three groups have few connections, so that instances that are stopped, killed and suspended are gateways too. Also checks that no log has a write twice, and that no write has an effect of which its caller was told that it had none.

--- a/src/standin/load_caller.cpp
+++ b/src/standin/load_caller.cpp
@@ -172,6 +172,8 @@
     done = co_await this->runStatement("COMMIT");
     if (done)
         this->log->told.insert(writeIds.begin(), writeIds.end());
+    else if (this->log->requests.back().response.find("ERR ABORTED") != std::string::npos)
+        this->log->rolledBack.insert(writeIds.begin(), writeIds.end());
     co_return done;
 }
 
--- a/src/standin/load_caller.h
+++ b/src/standin/load_caller.h
@@ -35,6 +35,8 @@
     std::vector<RequestRecord> requests;
     /// Ids of the writes of which a caller was told that they are committed.
     std::set<std::string> told;
+    /// Ids of the writes of transactions whose commit was refused as rolled back.
+    std::set<std::string> rolledBack;
     std::size_t refusedConnections = 0;
     std::size_t operations = 0;
     std::size_t served = 0;
--- a/src/standin/replicated_group.cpp
+++ b/src/standin/replicated_group.cpp
@@ -115,6 +115,31 @@
     }
 }
 
+std::set<std::string> ReplicatedGroup::keptWrites() const
+{
+    std::set<std::string> kept;
+    for (const auto& member : this->all) {
+        for (const ReplicatedMember::Commit& commit : member->log)
+            kept.insert(commit.writeIds.begin(), commit.writeIds.end());
+    }
+    return kept;
+}
+
+std::set<std::string> ReplicatedGroup::repeatedWrites() const
+{
+    std::set<std::string> repeated;
+    for (const auto& member : this->all) {
+        std::set<std::string> kept;
+        for (const ReplicatedMember::Commit& commit : member->log) {
+            for (const std::string& id : commit.writeIds) {
+                if (!kept.insert(id).second)
+                    repeated.insert(id);
+            }
+        }
+    }
+    return repeated;
+}
+
 std::set<std::string> ReplicatedGroup::lostWrites() const
 {
     std::set<std::string> ids;
--- a/src/standin/replicated_group.h
+++ b/src/standin/replicated_group.h
@@ -42,6 +42,9 @@
     unsigned promotions() const { return this->promotionCount; }
     /// Ids of the writes of acknowledged commits that the log of a promoted member lacked.
     std::set<std::string> lostWrites() const;
+    /// Ids of the writes that a member's log has, and of those that one has more than once.
+    std::set<std::string> keptWrites() const;
+    std::set<std::string> repeatedWrites() const;
     std::size_t acknowledged() const { return this->acknowledgedCommits.size(); }
     /// What happened at the promotions, for the output of a test that fails.
     const std::string& history() const { return this->events; }
--- a/testsuite/fault_soak/fault_soak.cpp
+++ b/testsuite/fault_soak/fault_soak.cpp
@@ -132,11 +132,14 @@
     print("cut", found.cut);
     print("opening", found.openings);
     EXPECT_EQ(fleet.lostCommits(), 0u) << "seed " << seed;
+    EXPECT_EQ(fleet.repeatedWrites(), 0u) << "seed " << seed;
+    EXPECT_EQ(fleet.falselyRefused(), std::set<std::string>()) << "seed " << seed;
     EXPECT_EQ(found.lost.size(), 0u) << "seed " << seed;
     EXPECT_EQ(found.cut.size(), 0u) << "seed " << seed;
     EXPECT_EQ(found.openings.size(), 0u) << "seed " << seed;
     EXPECT_EQ(fleet.instancesThatEndedBadly(), 0u) << "seed " << seed;
-    // Without load, stops and promotions the checks above would show nothing.
+    // Without load, stops, promotions and operations through gateways the checks above would show nothing.
+    EXPECT_TRUE(fleet.hasPrinted("statement_request:")) << "seed " << seed;
     EXPECT_GT(fleet.served(), fleet.operations() / 2) << "seed " << seed;
     EXPECT_GT(fleet.stops(), 0u) << "seed " << seed;
     EXPECT_TRUE(fleet.promotions() || !withFaults) << "seed " << seed;
--- a/testsuite/fault_soak/soak_fleet.cpp
+++ b/testsuite/fault_soak/soak_fleet.cpp
@@ -1,6 +1,7 @@
 #include "fault_soak/soak_fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <csignal>
 #include <cstdio>
@@ -19,7 +20,9 @@
     constexpr std::size_t groupCount = 3;
     constexpr std::size_t memberCount = 3;
     constexpr ReplicatedMember::Capacity memberCapacity { 3, 24 };
-    constexpr int maxMemberConnections = 46;
+    // Connections of the members of each group. The first one's are so few that its operations go through gateways,
+    // which are stopped, killed and suspended like the other instances.
+    constexpr std::array<int, groupCount> maxMemberConnections { 30, 46, 46 };
     constexpr Milliseconds memberWorkTime { 20 };
     constexpr Milliseconds promotionTime { 1000 };
     // Callers of each route.
@@ -36,6 +39,9 @@
     constexpr Milliseconds afterChange { 4000 };
     // A member that leaves serves for this long.
     constexpr Milliseconds leavingTime { 7500 };
+    // Errors that say that a statement had no effect.
+    constexpr std::array notRunErrors { "ERR BUSY", "ERR ABORTED", "ERR LAG", "ERR READONLY", "ERR MISROUTED",
+        "ERR CONNLIMIT" };
     constexpr const char* leaderKey = "catkinlock/duty/promotion";
 
     struct RouteShape {
@@ -150,8 +156,8 @@
     for (std::size_t group = 0; group < groupCount; ++group) {
         for (const RouteShape& shape : routeShapes())
             routes += routeText(shape, group, databaseOf(shape, group)) + ",";
-        services += fmt::format(
-            R"({}{{"name":"ledger{}","maxConns":{},"syncReplicas":1}})", group ? "," : "", group, maxMemberConnections);
+        services += fmt::format(R"({}{{"name":"ledger{}","maxConns":{},"syncReplicas":1}})", group ? "," : "", group,
+            maxMemberConnections[group]);
     }
     // Every second version has another route.
     std::string extra = this->configurationVersion % 2 ? "extra" : "further";
@@ -374,6 +380,37 @@
         lost.begin(), lost.end(), [this](const std::string& id) { return this->log->told.count(id) != 0; }));
 }
 
+std::size_t SoakFleet::repeatedWrites()
+{
+    std::size_t count = 0;
+    this->runOnStandInThread([&] {
+        for (const auto& group : this->groups)
+            count += group->repeatedWrites().size();
+    });
+    return count;
+}
+
+std::set<std::string> SoakFleet::falselyRefused()
+{
+    std::set<std::string> kept;
+    this->runOnStandInThread([&] {
+        for (const auto& group : this->groups)
+            kept.merge(group->keptWrites());
+    });
+    std::set<std::string> found;
+    for (const std::string& id : this->log->rolledBack) {
+        if (kept.count(id))
+            found.insert(id);
+    }
+    for (const RequestRecord& request : this->log->requests) {
+        bool refused = std::any_of(notRunErrors.begin(), notRunErrors.end(),
+            [&request](const char* error) { return request.response.find(error) != std::string::npos; });
+        if (refused && kept.count(request.id))
+            found.insert(request.id);
+    }
+    return found;
+}
+
 std::map<std::string, std::size_t> SoakFleet::errors() const
 {
     std::map<std::string, std::size_t> counts;
@@ -401,6 +438,14 @@
     return count;
 }
 
+bool SoakFleet::hasPrinted(const std::string& text)
+{
+    bool found = false;
+    for (std::size_t i = 0; i < this->instances(); ++i)
+        found = found || this->output(i).find(text) != std::string::npos;
+    return found;
+}
+
 std::string SoakFleet::summary()
 {
     auto found = this->unanswered();
--- a/testsuite/fault_soak/soak_fleet.h
+++ b/testsuite/fault_soak/soak_fleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -72,12 +73,18 @@
     std::size_t promotions();
     /// Number of commits that callers were told of and that a promoted member's log lacked.
     std::size_t lostCommits();
+    /// Number of writes that a member's log has more than once.
+    std::size_t repeatedWrites();
+    /// Ids of writes of which callers were told that they had no effect and that a member's log has.
+    std::set<std::string> falselyRefused();
     /// The errors that callers were given, with the number of each.
     std::map<std::string, std::size_t> errors() const;
     /// One line on what callers saw.
     std::string summary();
     /// What happened to the fleet and to its members.
     std::string history();
+    /// True if an instance has printed this text.
+    bool hasPrinted(const std::string& text);
     /// What an instance has printed.
     std::string output(std::size_t instance)
     {
