Check a caller's key at the gateway too

A gateway ran a statement without regard to its key, so that a withdrawn key worked for as long as a statement was on its way and waited for capacity there: longer than the 300 ms that the revocation time leaves for that after the last check at the caller's instance. Requests carry the key's digest; the gateway refuses a key that its own view lacks, and the instance then decides by its own.

--- a/src/libsession/forwarded_call.cpp
+++ b/src/libsession/forwarded_call.cpp
@@ -8,6 +8,7 @@
 {
     request.set_service(call.route.pool);
     request.set_workspace(call.workspace);
+    request.set_key_digest(call.keyDigest);
     request.set_consistency(static_cast<std::uint32_t>(call.route.consistency));
     request.set_max_age_ms(call.route.maxAgeMs);
     request.set_priority(call.route.priority);
@@ -37,6 +38,7 @@
     call.route.priority = request.priority();
     call.route.latencyObjectiveMs = request.latency_objective_ms();
     call.workspace = request.workspace();
+    call.keyDigest = request.key_digest();
     call.lastCommit = { request.last_commit().term(), request.last_commit().lsn() };
     call.values = { request.values().begin(), request.values().end() };
     call.statement.id = request.request();
--- a/src/libsession/forwarded_call.h
+++ b/src/libsession/forwarded_call.h
@@ -22,6 +22,8 @@
     /// Pool, consistency, maximum age, objective and priority of the route.
     Route route;
     std::string workspace;
+    /// Digest of the caller's key, which the gateway checks by its own view; empty on an open route.
+    std::string keyDigest;
     /// Position of the session's last commit in the service; term 0 if it made none.
     Position lastCommit;
     std::map<std::string, std::string> values;
--- a/src/libsession/read_forwarder_test.cpp
+++ b/src/libsession/read_forwarder_test.cpp
@@ -46,6 +46,7 @@
     read.route.priority = 1;
     read.route.latencyObjectiveMs = 400;
     read.workspace = "tours";
+    read.keyDigest = "7d1a";
     read.lastCommit = { 3, 1207 };
     read.values = { { "zone", "asia" } };
     read.statement.id = "5c0e";
--- a/src/libsession/read_service.cpp
+++ b/src/libsession/read_service.cpp
@@ -58,7 +58,7 @@
     message.set_request(read.statement.id);
     message.set_gateway_run(this->parts.run);
     message.set_clock_ms(toClockMs(receivedAt));
-    if (!this->isAvailable()) {
+    if (!this->isAvailable() || !confirmsKey(*this->parts.sessions, read.keyDigest)) {
         message.set_unavailable(true);
         this->reply(std::move(sender), envelope);
         co_return;
@@ -70,8 +70,9 @@
     call.workspace = read.workspace;
     call.arrivedAt = Clock::now();
     call.deadline = deadline;
-    // The instance that received the read has checked the caller's key.
-    call.isAllowed = [sessions] { return sessions->freshness->isFresh(Clock::now()); };
+    // The instance that received the read has checked the caller's key, by a view that may be older by now than it may
+    // be used.
+    call.isAllowed = [sessions, digest = read.keyDigest] { return confirmsKey(*sessions, digest); };
     SessionRunner runner(sessions);
     runner.adopt(read, false);
     ++this->running;
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -314,6 +314,8 @@
         call.deadline = std::min(call.deadline, this->context->drain->repliesEnd);
     std::string digest = this->keyDigest;
     bool open = call.route.open;
+    if (!open)
+        call.keyDigest = digest;
     call.isAllowed = [context = this->context, digest, open] {
         return open || (context->freshness->isFresh(Clock::now()) && context->view->read()->tables->keys.count(digest));
     };
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace catkinlock {
 
@@ -55,4 +56,8 @@
     LineBudget failureLineBudget { maxFailureLinesPerSecond };
 };
 
+/// True if this instance's view may be used now and contains the caller's key, by which a gateway decides whether it
+/// may run a statement. `keyDigest`: empty for a caller of an open route, who needs no key.
+bool confirmsKey(const SessionContext&, const std::string& keyDigest);
+
 } // namespace catkinlock
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -328,6 +328,7 @@
     ForwardedCall described;
     described.route = call.route;
     described.workspace = call.workspace;
+    described.keyDigest = call.keyDigest;
     described.lastCommit = this->readRequirements(call).lastCommit;
     described.values = this->values;
     if (statement.kind == StatementKind::Execute)
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -28,6 +28,8 @@
 struct StatementCall {
     Route route;
     std::string workspace;
+    /// Digest of the caller's key; empty on an open route.
+    std::string keyDigest;
     TimePoint arrivedAt;
     TimePoint deadline;
     /// End of a wait for capacity that begins at `now`: after the route's `capacityWait`, at the latest at the
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -211,6 +211,7 @@
         call.route.pool = "orders";
         call.route.latencyObjectiveMs = this->objectiveMs;
         call.workspace = this->workspace;
+        call.keyDigest = this->keyDigest;
         call.arrivedAt = Clock::now();
         call.deadline = call.arrivedAt + time;
         call.isAllowed = [] { return true; };
@@ -231,6 +232,7 @@
     }
 
     std::string workspace;
+    std::string keyDigest;
     std::uint32_t objectiveMs = 200;
     // Id of the last statement.
     std::string lastId;
@@ -269,6 +271,7 @@
         tables.pools["orders"].databases.resize(1);
         tables.pools["orders"].databases[0].connections = connectionCount;
         tables.idleTransactionMs = idleTransactionMs;
+        tables.keys["digest"] = {};
         this->fleet.tables = std::make_shared<const Tables>(tables);
         for (std::size_t i = 2; i < instanceCount; ++i)
             this->fleet.instances[fmt::format("x{}", i)] = { fmt::format("x{}:1", i), "", 1e-6 };
@@ -701,6 +704,63 @@
 
 namespace {
 
+// Removes the caller's key from the view of an instance.
+void withdrawKey(TestInstance& instance)
+{
+    FleetView view = *instance.view->read();
+    Tables tables = *view.tables;
+    tables.keys.clear();
+    view.tables = std::make_shared<const Tables>(tables);
+    instance.view->replace(view);
+}
+
+} // namespace
+
+// Guards against a withdrawn key that works for as long as a statement may wait at its gateway: the session's instance
+// has checked the key before, perhaps by a view that it may use only for a moment more.
+TEST(StatementService, AStatementThatWaitsAtItsGatewayIsNotRunOnceItsKeyIsWithdrawn)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        for (StatementKind kind : { StatementKind::Write, StatementKind::Read }) {
+            co_await fixture.learnClock();
+            // The new process has no connection, and waits for one.
+            fixture.startGateway();
+            *fixture.front->clocks = GatewayClocks();
+            fixture.member->setResponseDelay(Milliseconds(100));
+            asio::steady_timer timer(fixture.context, Milliseconds(50));
+            timer.async_wait([&](boost::system::error_code) { withdrawKey(*fixture.gateway); });
+            TestSession session = fixture.session();
+            session.objectiveMs = 4000;
+            session.keyDigest = "digest";
+            std::string text = kind == StatementKind::Read ? "READ seat" : "WRITE seat one";
+            TargetReply reply = co_await session.run(kind, text, ampleTime);
+            EXPECT_EQ(reply.error, StatementError::Busy);
+            EXPECT_TRUE(fixture.group->committedWriteIds.empty());
+            fixture.member->setResponseDelay(Milliseconds(0));
+        }
+    });
+}
+
+// Guards against callers that are refused while their new key is not yet in the view of their gateway.
+TEST(StatementService, AKeyThatTheGatewayDoesNotKnowYetWorksAtItsInstance)
+{
+    GatewayFixture fixture;
+    fixture.play([&]() -> asio::awaitable<void> {
+        co_await fixture.learnClock();
+        withdrawKey(*fixture.gateway);
+        TestSession session = fixture.session();
+        session.keyDigest = "digest";
+        TargetReply reply = co_await session.write();
+        EXPECT_FALSE(reply.error) << reply.errorText;
+        EXPECT_EQ(fixture.committed(session.lastId), 1);
+        reply = co_await session.run(StatementKind::Read, "READ seat", ampleTime);
+        EXPECT_FALSE(reply.error) << reply.errorText;
+    });
+}
+
+namespace {
+
 // Gives an instance the whole rate of the workspace, with a full burst.
 asio::awaitable<void> addAdmission(GatewayFixture& fixture, TestInstance& instance)
 {
--- a/src/libsession/statement_service.cpp
+++ b/src/libsession/statement_service.cpp
@@ -96,7 +96,8 @@
 std::shared_ptr<StatementService::Transaction> StatementService::transactionFor(const Received& received, TimePoint now)
 {
     const ForwardedStatement& statement = received.statement;
-    if (!isCurrent(received.sentAt, { this->parts.run, Milliseconds(toClockMs(now)) }))
+    bool confirmed = confirmsKey(*this->parts.sessions, statement.call.keyDigest);
+    if (!confirmed || !isCurrent(received.sentAt, { this->parts.run, Milliseconds(toClockMs(now)) }))
         return nullptr;
     TransactionKey key(received.sender, statement.transaction);
     if (statement.sequence > 1) {
@@ -147,8 +148,9 @@
     call.deadline = received.deadline;
     if (sessions->drain)
         call.deadline = std::min(call.deadline, sessions->drain->repliesEnd);
-    // The instance that received the statement has checked the caller's key.
-    call.isAllowed = [sessions] { return sessions->freshness->isFresh(Clock::now()); };
+    // The instance that received the statement has checked the caller's key, by a view that may be older by now than it
+    // may be used.
+    call.isAllowed = [sessions, digest = forwarded.keyDigest] { return confirmsKey(*sessions, digest); };
     runner.beginStatement();
     runner.adopt(forwarded, received.statement.preparedWrites);
     ForwardedOutcome outcome;
