--- a/src/include/catkinlock/front_settings.h
+++ b/src/include/catkinlock/front_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/caller_limit_settings.h"
 #include "catkinlock/clock.h"
 #include "catkinlock/error.h"
 #include "catkinlock/view_budget.h"
@@ -46,6 +47,12 @@
     std::uint32_t revocationMs = 5000;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 6;
+    /// Memory of the machine in MB, up to 1048576; 0 if that is not known.
+    std::uint32_t memoryMb = 0;
+    /// Open descriptors that the process may have, up to 16777216; 0 if that is not known.
+    std::uint32_t maxFds = 0;
+    /// Limits of the section "limits" as they are in the file.
+    CallerLimitSettings limits;
 
     bool operator==(const FrontSettings&) const = default;
 
--- a/src/include/catkinlock/settings.h
+++ b/src/include/catkinlock/settings.h
@@ -44,6 +44,16 @@
     std::uint32_t replicaWaitMs = 150;
     /// Time limit of a graceful shutdown, 1 to 600 s.
     std::uint32_t drainSeconds = 30;
+    /// Memory of the machine in MB, up to 1048576; 0 if that is not known.
+    std::uint32_t memoryMb = 0;
+    /// Open descriptors that the process may have, up to 16777216; 0 if that is not known.
+    std::uint32_t maxFds = 0;
+    /// Bytes that all callers' connections together may hold, up to 4 GiB; 0: derived from the machine's memory.
+    std::uint32_t totalBytes = 0;
+    /// Open connections of callers, up to 16777216; 0: derived from the descriptors of the process.
+    std::uint32_t connections = 0;
+    /// Open connections of callers from one address, up to 16777216; 0: no limit.
+    std::uint32_t connectionsPerAddress = 0;
 
     bool operator==(const Settings&) const = default;
 };
--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -7,6 +7,22 @@
 namespace {
 
     constexpr std::size_t minSecretLength = 16;
+    // A message of 1 MiB takes up to this in its received, parsed and forwarded forms.
+    constexpr std::uint32_t minConnectionBytes = 4 << 20;
+    constexpr std::uint32_t maxBytes = UINT32_MAX;
+    constexpr std::uint32_t maxTimeMs = 86400000;
+
+    void readLimits(SettingsReader& reader, CallerLimitSettings& limits)
+    {
+        reader.number("limits", "connection_bytes", limits.connectionBytes, minConnectionBytes, maxBytes);
+        reader.number("limits", "total_bytes", limits.totalBytes, 0, maxBytes);
+        reader.number("limits", "connections", limits.connections, 0, 1 << 24);
+        reader.number("limits", "connections_per_address", limits.connectionsPerAddress, 0, 1 << 24);
+        reader.number("limits", "arrival_ms", limits.arrivalMs, 100, maxTimeMs);
+        reader.number("limits", "reply_ms", limits.replyMs, 100, maxTimeMs);
+        reader.number("limits", "page_connections", limits.pageConnections, 1, 1 << 24);
+        reader.number("limits", "page_ms", limits.pageMs, 100, maxTimeMs);
+    }
 
 } // namespace
 
@@ -29,6 +45,8 @@
     reader.text("instance", "metrics", settings.metricsAddress, false);
     reader.address("instance", "peer", settings.peerAddress);
     reader.real("instance", "cores", settings.cores, 0, 1024);
+    reader.number("instance", "memory_mb", settings.memoryMb, 0, 1 << 20);
+    reader.number("instance", "max_fds", settings.maxFds, 0, 1 << 24);
     reader.number("instance", "drain_seconds", settings.drainSeconds, 1, 600);
     reader.text("platform", "adapter", settings.adapter, true);
     reader.address("platform", "store", settings.storeAddress);
@@ -43,6 +61,7 @@
     reader.number("fleet", "revocation_ms", settings.revocationMs, 500, 600000);
     if (auto budget = settings.viewBudget(); !budget)
         reader.addError(reader.line("fleet", "apply_ms"), "fleet", "apply_ms", budget.error().message);
+    readLimits(reader, settings.limits);
     reader.rejectUnknownKeys();
     if (!reader.errors.empty())
         return tl::unexpected(reader.errors);
--- a/src/standin/front_fleet.cpp
+++ b/src/standin/front_fleet.cpp
@@ -12,6 +12,7 @@
     // restarted.
     constexpr int callerPort = 8465;
     constexpr int readyPort = 8460;
+    constexpr int metricsPort = 8461;
     constexpr int peerPort = 7560;
 
     // A loopback host of its own for each instance of each test process.
@@ -84,14 +85,16 @@
     std::string host = hostOf(i);
     this->callerAddresses.push_back(fmt::format("{}:{}", host, callerPort));
     this->readyAddresses.push_back(fmt::format("{}:{}", host, readyPort));
+    this->metricsAddresses.push_back(fmt::format("{}:{}", host, metricsPort));
+    this->peerAddresses.push_back(fmt::format("{}:{}", host, peerPort));
     std::string path = fmt::format("{}catkinlock_front_{}_{}.toml", this->folder, getpid(), i);
     std::ofstream(path) << fmt::format("[instance]\nname = \"i{}\"\ndata_centre = \"a\"\ncallers = \"{}\"\n"
-                                       "ready = \"{}\"\nready_path = \"/ready\"\npeer = \"{}:{}\"\n"
+                                       "ready = \"{}\"\nready_path = \"/ready\"\nmetrics = \"{}\"\npeer = \"{}\"\n"
                                        "drain_seconds = {}\n"
                                        "[platform]\nadapter = \"lines\"\nstore = \"{}\"\npromotions = \"{}\"\n"
-                                       "[fleet]\nsecret = \"a secret of the test fleet\"\n",
-        i, this->callerAddresses[i], this->readyAddresses[i], host, peerPort, this->drainSeconds, this->store,
-        this->store);
+                                       "[fleet]\nsecret = \"a secret of the test fleet\"\n{}",
+        i, this->callerAddresses[i], this->readyAddresses[i], this->metricsAddresses[i], this->peerAddresses[i],
+        this->drainSeconds, this->store, this->store, this->extraSettings);
     this->settingsPaths.push_back(path);
 }
 
--- a/src/standin/front_fleet.h
+++ b/src/standin/front_fleet.h
@@ -22,6 +22,8 @@
 
     /// Sets the drain time of the instances that are added from now on, in seconds.
     void setDrainSeconds(int seconds) { this->drainSeconds = seconds; }
+    /// Sets text that is appended to the settings of the instances that are added from now on, such as a section.
+    void setExtraSettings(std::string text) { this->extraSettings = std::move(text); }
     /// Starts one more instance, "i0", "i1" and so on. False if it did not get ready.
     bool add();
     /// Starts one more instance, and does not wait for it.
@@ -39,6 +41,10 @@
     const std::string& callerAddress(std::size_t i) const { return this->callerAddresses[i]; }
     /// "ip:port" at which an instance reports whether it is ready, at the path "/ready".
     const std::string& readyAddress(std::size_t i) const { return this->readyAddresses[i]; }
+    /// "ip:port" of an instance's metrics page.
+    const std::string& metricsAddress(std::size_t i) const { return this->metricsAddresses[i]; }
+    /// "ip:port" at which an instance accepts messages of others.
+    const std::string& peerAddress(std::size_t i) const { return this->peerAddresses[i]; }
     std::size_t size() const { return this->processes.size(); }
     /// Ends all instances at once.
     void killAll() { this->processes.clear(); }
@@ -53,6 +59,9 @@
     std::vector<std::string> settingsPaths;
     std::vector<std::string> callerAddresses;
     std::vector<std::string> readyAddresses;
+    std::vector<std::string> metricsAddresses;
+    std::vector<std::string> peerAddresses;
+    std::string extraSettings;
     int drainSeconds = 2;
     std::vector<std::unique_ptr<Process>> processes;
 };
