Limits for callers of sessions

CallerBudget charges each connection with what it holds (received, parsed, running, replies, values of the session) and bounds connections, bytes, the time of a message to arrive and of a reply to be taken. The session listener, the sessions and the connections to members use it.

--- a/src/catkinlock/front_command.cpp
+++ b/src/catkinlock/front_command.cpp
@@ -1,5 +1,6 @@
 // Command front: runs an instance that serves sessions.
 
+#include "catkinlock/allocation.h"
 #include "catkinlock/command.h"
 #include "catkinlock/front_settings.h"
 #include "catkinlock/log.h"
@@ -50,6 +51,7 @@
 int runFront(const CommandOptions& options)
 {
     ProcessSignals::block();
+    returnLargeBuffers();
     std::string path = options.settingsFile;
     auto settings = readFrontSettings(path);
     if (!settings)
--- a/src/include/catkinlock/caller_limit_settings.h
+++ b/src/include/catkinlock/caller_limit_settings.h
@@ -6,8 +6,8 @@
 
 /// The section "limits" of an instance's settings: what callers that are not trusted may use.
 struct CallerLimitSettings {
-    /// Bytes that one connection may hold, 4 MiB to 4 GiB.
-    std::uint32_t connectionBytes = 16 << 20;
+    /// Bytes that one connection may hold, up to 4 GiB; 0: derived from the sum of all.
+    std::uint32_t connectionBytes = 0;
     /// Bytes that all connections together may hold, up to 4 GiB; 0: derived from the machine's memory.
     std::uint32_t totalBytes = 0;
     /// Open connections, up to 16777216; 0: derived from the descriptors of the process.
--- a/src/include/catkinlock/caller_message.h
+++ b/src/include/catkinlock/caller_message.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <variant>
 
 namespace catkinlock {
 
+class CallerCharge;
+
 /// Kind of a statement within a session.
 enum class StatementKind {
     Begin,
@@ -35,6 +38,8 @@
     std::string argument;
     /// Prepare: true if the prepared statement writes when it is executed.
     bool writes = false;
+    /// Charged for the bytes of the reply while it arrives; null if nothing is charged.
+    std::shared_ptr<CallerCharge> charge = nullptr;
 
     bool operator==(const SessionStatement&) const = default;
 };
--- a/src/include/catkinlock/caller_protocol.h
+++ b/src/include/catkinlock/caller_protocol.h
@@ -17,6 +17,9 @@
     /// complete message yet. Input over the size limit gives MalformedMessage with `tooLarge` and stays in `buffer`, so
     /// the connection has to be closed.
     virtual std::optional<CallerMessage> take(std::string& buffer) const = 0;
+    /// False if `take` would find nothing in a buffer in whose first `scanned` bytes it has found nothing. A message
+    /// that arrives in small pieces is thus not scanned from its beginning for each of them.
+    virtual bool mayHoldMessage(const std::string& buffer, std::size_t scanned) const = 0;
     /// Appends the reply to a statement: its rows, then its success or failure, then the session's state.
     virtual void appendReply(std::string& out, const TargetReply&) const = 0;
     /// Appends the message that the session is open.
--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -7,14 +7,12 @@
 namespace {
 
     constexpr std::size_t minSecretLength = 16;
-    // A message of 1 MiB takes up to this in its received, parsed and forwarded forms.
-    constexpr std::uint32_t minConnectionBytes = 4 << 20;
     constexpr std::uint32_t maxBytes = UINT32_MAX;
     constexpr std::uint32_t maxTimeMs = 86400000;
 
     void readLimits(SettingsReader& reader, CallerLimitSettings& limits)
     {
-        reader.number("limits", "connection_bytes", limits.connectionBytes, minConnectionBytes, maxBytes);
+        reader.number("limits", "connection_bytes", limits.connectionBytes, 0, maxBytes);
         reader.number("limits", "total_bytes", limits.totalBytes, 0, maxBytes);
         reader.number("limits", "connections", limits.connections, 0, 1 << 24);
         reader.number("limits", "connections_per_address", limits.connectionsPerAddress, 0, 1 << 24);
--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -1,5 +1,6 @@
 #include "libsession/front_instance.h"
 
+#include "catkinlock/caller_budget.h"
 #include "catkinlock/instance_lifecycle.h"
 #include "catkinlock/log.h"
 #include "catkinlock/membership.h"
@@ -8,6 +9,7 @@
 #include "catkinlock/rendezvous.h"
 #include "catkinlock/store_revision.h"
 #include "libserver/admission.h"
+#include "libserver/caller_metrics.h"
 #include "libserver/metrics_page.h"
 #include "libserver/service_level.h"
 #include "libserver/slot_keeper.h"
@@ -199,6 +201,8 @@
     auto executor = this->requests.get_executor();
     this->sessions->executor = executor;
     this->sessions->protocol = this->platform.callerProtocol;
+    this->sessions->budget = std::make_shared<CallerBudget>(
+        deriveCallerLimits(this->settings.limits, this->settings.memoryMb, this->settings.maxFds));
     this->sessions->view = this->view;
     this->sessions->freshness = this->freshness;
     this->sessions->level = this->level;
@@ -496,6 +500,7 @@
         { "gateway_losses_total", "Reads that a gateway did not serve", count(this->sessions->reads->lost()), true },
         { "peer_bytes_sent_total", "Bytes sent to peers", count(this->link->bytesSent()), true },
     };
+    appendCallerMetrics(metrics, *this->sessions->budget);
     return { 200, renderMetrics(metrics, *this->level) };
 }
 
--- a/src/libsession/session.cpp
+++ b/src/libsession/session.cpp
@@ -1,9 +1,12 @@
 #include "libsession/session.h"
 
+#include "catkinlock/caller_budget.h"
+#include "catkinlock/caller_limit_log.h"
 #include "catkinlock/caller_protocol.h"
 #include "catkinlock/digest.h"
 #include "catkinlock/log.h"
 #include "catkinlock/refusal.h"
+#include "libplatform/socket_options.h"
 #include "libserver/admission.h"
 #include "libserver/service_level.h"
 #include "libsession/view_freshness.h"
@@ -27,8 +30,52 @@
     constexpr Milliseconds noticeTimeout { 500 };
     constexpr const char* leavingText = "not run: this instance is leaving; use another one";
 
+    // A session that has read a message keeps at most this for the next one.
+    constexpr std::size_t keptBufferBytes = 2 * readChunkBytes;
+    // Reserved for a message that is larger. The system provides the memory only as it is written; growing step by step
+    // would leave a heap of freed smaller buffers.
+    constexpr std::size_t largeBufferBytes = (1 << 20) + 2 * readChunkBytes;
+    // While a statement runs, its text is held up to this many times: as text and argument of the statement, of the
+    // attempt and of the exchange with the member, and as it is sent.
+    constexpr std::uint64_t statementCopies = 6;
+    // The same for a statement that only changes the session.
+    constexpr std::uint64_t localStatementCopies = 4;
+    // A value is held under its name; a prepared statement with its whole text besides. The tables that name them take
+    // the rest.
+    constexpr std::uint64_t keptCopies = 3;
+    constexpr std::uint64_t keptEntryBytes = 256;
+    // Time and bytes for a refused caller to read the refusal: closing a connection with unread input resets it, and
+    // the refusal could be lost.
+    constexpr Milliseconds refusalTimeout { 500 };
+    constexpr std::size_t maxDiscardedBytes = 4 << 20;
+    // Longest first word of a statement that is logged.
+    constexpr std::size_t maxKindBytes = 32;
+
     // The kind of a statement for the log, without its parameters.
-    std::string firstWord(const std::string& text) { return text.substr(0, text.find(' ')); }
+    std::string firstWord(const std::string& text) { return text.substr(0, std::min(text.find(' '), maxKindBytes)); }
+
+    // An assignment would keep the memory.
+    void freeText(std::string& text)
+    {
+        text.clear();
+        text.shrink_to_fit();
+    }
+
+    bool isKept(StatementKind kind) { return kind == StatementKind::SetValue || kind == StatementKind::Prepare; }
+
+    // Name of a value or prepared statement among all that a session keeps; empty for other statements.
+    std::string keptName(const SessionStatement& statement)
+    {
+        if (!isKept(statement.kind) && statement.kind != StatementKind::Deallocate)
+            return "";
+        return (statement.kind == StatementKind::SetValue ? "v" : "p") + statement.name;
+    }
+
+    // What the session keeps of a statement.
+    std::uint64_t keptSize(const SessionStatement& statement)
+    {
+        return !isKept(statement.kind) ? 0 : keptCopies * statement.text.size() + keptEntryBytes;
+    }
 
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
@@ -38,15 +85,20 @@
     explicit Socket(asio::ip::tcp::socket connection)
         : stream(std::move(connection))
         , idleTimer(this->stream.get_executor())
+        , deadline(this->stream.get_executor())
     {
     }
     asio::ip::tcp::socket stream;
     asio::steady_timer idleTimer;
+    // Ends the session if a message does not arrive, or a reply is not taken, in time.
+    asio::steady_timer deadline;
 };
 
-Session::Session(asio::ip::tcp::socket socket, std::shared_ptr<SessionContext> context)
+Session::Session(
+    asio::ip::tcp::socket socket, std::shared_ptr<SessionContext> context, std::shared_ptr<CallerCharge> charge)
     : socket(std::make_unique<Socket>(std::move(socket)))
     , context(std::move(context))
+    , charge(std::move(charge))
     , runner(this->context)
     , quietSince(Clock::now())
 {
@@ -114,11 +166,137 @@
     if (this->context->drain)
         this->logEndWhileLeaving();
     this->runner.close();
+    if (this->limitMet)
+        co_await this->refuse(*this->limitMet);
+    this->stopDeadline();
     boost::system::error_code ignored;
     this->socket->stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     this->socket->stream.close(ignored);
 }
 
+void Session::meetLimit(CallerLimit limit)
+{
+    if (this->limitMet)
+        return;
+    this->limitMet = limit;
+    reportCallerLimit(*this->charge->budget(), limit, "callers", this->charge->address(), this->charge->bytes());
+}
+
+void Session::recordIfTooLarge(const std::optional<CallerMessage>& message)
+{
+    auto* malformed = message ? std::get_if<MalformedMessage>(&*message) : nullptr;
+    if (malformed && malformed->tooLarge)
+        this->meetLimit(CallerLimit::MessageBytes);
+}
+
+// Ends the session after this time, unless `stopDeadline` is called before.
+void Session::startDeadline(Milliseconds time, CallerLimit limit)
+{
+    std::uint64_t number = ++this->deadlineNumber;
+    if (!time.count())
+        return;
+    this->socket->deadline.expires_after(time);
+    std::weak_ptr<Session> weak = this->weak_from_this();
+    this->socket->deadline.async_wait([weak, limit, number](boost::system::error_code error) {
+        auto session = weak.lock();
+        if (error || !session || session->deadlineNumber != number)
+            return;
+        session->meetLimit(limit);
+        session->cancelRead();
+    });
+}
+
+void Session::stopDeadline()
+{
+    ++this->deadlineNumber;
+    this->socket->deadline.cancel();
+}
+
+// Charges the bytes of the message that arrives, and sets the time for it to be complete. A session that waits for the
+// first byte of its next message has all the time. False if the session ends for a limit.
+bool Session::chargeReceived()
+{
+    if (!this->arriving && (!this->received.empty() || !this->opened)) {
+        this->arriving = true;
+        this->startDeadline(this->charge->budget()->limits().arrivalTime, CallerLimit::ArrivalTime);
+    }
+    auto limit = this->charge->hold(CallerCharge::Part::Received, this->received.size());
+    if (limit)
+        this->meetLimit(*limit);
+    return !this->limitMet;
+}
+
+void Session::recordMessageTaken()
+{
+    this->stopDeadline();
+    this->arriving = false;
+    this->opened = true;
+    if (this->received.capacity() > keptBufferBytes)
+        this->received.shrink_to_fit();
+    this->charge->record(CallerCharge::Part::Received, this->received.size());
+}
+
+// Charges a statement before it runs, with the session's values, which are passed on with it, and what the session will
+// keep of it. False if the session ends for a limit.
+bool Session::chargeStatement(const SessionStatement& statement)
+{
+    bool isLocal = isKept(statement.kind);
+    std::uint64_t bytes = isLocal ? localStatementCopies * statement.text.size()
+                                  : statementCopies * statement.text.size() + this->keptBytesSum;
+    auto limit = this->charge->hold(CallerCharge::Part::Statement, bytes);
+    if (!limit && isLocal) {
+        auto former = this->keptBytes.find(keptName(statement));
+        std::uint64_t replaced = former == this->keptBytes.end() ? 0 : former->second;
+        limit = this->charge->hold(CallerCharge::Part::Session, this->keptBytesSum - replaced + keptSize(statement));
+    }
+    if (limit)
+        this->meetLimit(*limit);
+    return !limit;
+}
+
+// Records what the session keeps after a statement on a value or prepared statement of this name, which is empty for
+// other statements. A size of 0 stands for one that is no longer kept.
+void Session::updateSessionBytes(const std::string& name, std::uint64_t size, bool succeeded)
+{
+    if (succeeded && !name.empty()) {
+        std::uint64_t& kept = this->keptBytes[name];
+        this->keptBytesSum += size - kept;
+        kept = size;
+        if (!size)
+            this->keptBytes.erase(name);
+    }
+    this->charge->record(CallerCharge::Part::Session, this->keptBytesSum);
+}
+
+// Tells the caller which limit it has met, as far as it reads that, and discards what it still sends for a short time.
+// A caller that does not take its reply is cut off, so that the kernel frees what it holds for the connection.
+asio::awaitable<void> Session::refuse(CallerLimit limit)
+{
+    auto& stream = this->socket->stream;
+    if (limit == CallerLimit::ReplyTime) {
+        setResetOnClose(stream, true);
+        co_return;
+    }
+    freeText(this->received);
+    this->charge->record(CallerCharge::Part::Received, 0);
+    this->charge->record(CallerCharge::Part::Statement, 0);
+    std::string bytes;
+    this->context->protocol->appendNotice(bytes, callerLimitError(limit),
+        std::string("not run: limit of this instance reached: ") + callerLimitName(limit));
+    boost::system::error_code ignored;
+    stream.non_blocking(true, ignored);
+    stream.write_some(asio::buffer(bytes), ignored);
+    stream.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->startDeadline(refusalTimeout, limit);
+    std::string chunk(readChunkBytes, '\0');
+    for (std::size_t discarded = 0; discarded < maxDiscardedBytes;) {
+        auto [error, size] = co_await stream.async_read_some(asio::buffer(chunk), asResult());
+        if (error)
+            co_return;
+        discarded += size;
+    }
+}
+
 // Serves the next message. False once the session has ended.
 asio::awaitable<bool> Session::serveNext()
 {
@@ -130,8 +308,10 @@
     }
     this->noticeDue = false;
     auto* statement = message ? std::get_if<SessionStatement>(&*message) : nullptr;
-    if (!statement)
+    if (!statement) {
+        this->recordIfTooLarge(message);
         co_return false;
+    }
     if (!this->noticeGivenAt)
         co_return co_await this->serveStatement(std::move(*statement));
     this->completeNotice(*statement, bytes);
@@ -157,17 +337,31 @@
 asio::awaitable<bool> Session::serveStatement(SessionStatement statement)
 {
     ++this->statements;
-    this->lastStatement = statement.text;
+    this->lastStatement = firstWord(statement.text);
+    if (!this->chargeStatement(statement))
+        co_return false;
+    std::string name = keptName(statement);
+    std::uint64_t size = keptSize(statement);
+    statement.charge = this->charge;
     bool inOperation = this->runner.state() != TransactionState::Idle || this->runner.startsOperation(statement);
     TargetReply reply = co_await this->runStatement(std::move(statement));
+    this->charge->record(CallerCharge::Part::Statement, 0);
+    this->updateSessionBytes(name, size, !reply.error);
     std::string bytes;
     this->context->protocol->appendReply(bytes, reply);
+    // The rows are not kept while the caller takes them.
+    reply.rows = {};
+    auto limit = this->charge->takeLimitMet();
     const auto& drain = this->context->drain;
     // A caller that has prepared statements is likely to deallocate them next.
     bool operationEnded = inOperation && this->runner.state() == TransactionState::Idle && !this->runner.hasPrepared();
     if (drain && (operationEnded || Clock::now() > drain->statementsEnd))
         this->appendNotice(bytes);
-    co_return co_await this->write(std::move(bytes));
+    bool written = co_await this->write(std::move(bytes));
+    // A reply that did not fit ends the session, unless another attempt has brought it.
+    if (limit && reply.error)
+        this->meetLimit(*limit);
+    co_return written && !this->limitMet;
 }
 
 // Bytes that were not read tell that the caller has sent a request that gets no reply.
@@ -180,13 +374,18 @@
     writeLog(LogLevel::Info, "session_ended",
         { { "database", this->database }, { "caller_told", this->noticeGivenAt ? "yes" : "no" },
             { "unread_bytes", fmt::format("{}", unread) }, { "statements", fmt::format("{}", this->statements) },
-            { "last_statement", firstWord(this->lastStatement) },
+            { "last_statement", this->lastStatement },
             { "in_transaction", this->runner.state() == TransactionState::Idle ? "no" : "yes" } });
 }
 
 asio::awaitable<bool> Session::write(std::string bytes)
 {
+    this->charge->record(CallerCharge::Part::Reply, bytes.capacity());
+    this->startDeadline(this->charge->budget()->replyTime(bytes.size()), CallerLimit::ReplyTime);
     auto [error, size] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
+    this->stopDeadline();
+    freeText(bytes);
+    this->charge->record(CallerCharge::Part::Reply, 0);
     this->quietSince = Clock::now();
     co_return !error;
 }
@@ -209,10 +408,18 @@
 
 asio::awaitable<std::optional<CallerMessage>> Session::nextMessage()
 {
+    std::size_t scanned = 0;
     for (;;) {
-        auto message = this->context->protocol->take(this->received);
-        if (message)
+        std::optional<CallerMessage> message;
+        if (this->context->protocol->mayHoldMessage(this->received, scanned))
+            message = this->context->protocol->take(this->received);
+        if (message) {
+            this->recordMessageTaken();
             co_return message;
+        }
+        scanned = this->received.size();
+        if (!this->chargeReceived())
+            co_return std::nullopt;
         this->startIdleTransactionTimer();
         this->awaitingInput = true;
         std::size_t previousSize = this->received.size();
@@ -223,6 +430,8 @@
         if (error)
             co_return std::nullopt;
         this->received.resize(previousSize);
+        if (previousSize + size > keptBufferBytes)
+            this->received.reserve(largeBufferBytes);
         this->received.append(chunk, 0, size);
     }
 }
@@ -246,8 +455,10 @@
 {
     auto message = co_await this->awaitOpening();
     auto* opening = message ? std::get_if<OpenSession>(&*message) : nullptr;
-    if (!opening)
+    if (!opening) {
+        this->recordIfTooLarge(message);
         co_return false;
+    }
     this->database = opening->database;
     this->keyDigest = sha256Hex(opening->key);
     auto view = this->context->view->read();
--- a/src/libsession/session.h
+++ b/src/libsession/session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/caller_charge.h"
 #include "catkinlock/caller_message.h"
 #include "catkinlock/clock.h"
 #include "catkinlock/target_message.h"
@@ -8,6 +9,7 @@
 #include "libsession/session_runner.h"
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,7 +21,7 @@
 /// request thread.
 class Session : public std::enable_shared_from_this<Session> {
 public:
-    Session(boost::asio::ip::tcp::socket, std::shared_ptr<SessionContext>);
+    Session(boost::asio::ip::tcp::socket, std::shared_ptr<SessionContext>, std::shared_ptr<CallerCharge>);
     ~Session();
 
     /// Serves the session from its opening message until the caller closes it, the connection fails or the session is
@@ -43,6 +45,16 @@
     void appendNotice(std::string& out);
     void completeNotice(const SessionStatement&, std::string& out);
     void cancelRead();
+    // Ends the session for a limit that its connection has met.
+    void meetLimit(CallerLimit);
+    void recordIfTooLarge(const std::optional<CallerMessage>&);
+    void startDeadline(Milliseconds, CallerLimit);
+    void stopDeadline();
+    bool chargeReceived();
+    void recordMessageTaken();
+    bool chargeStatement(const SessionStatement&);
+    void updateSessionBytes(const std::string& name, std::uint64_t size, bool succeeded);
+    boost::asio::awaitable<void> refuse(CallerLimit);
     boost::asio::awaitable<TargetReply> runStatement(SessionStatement);
     tl::expected<StatementCall, TargetReply> admitCall() const;
     std::optional<TargetReply> refuseWhileLeaving(const SessionStatement&);
@@ -53,6 +65,7 @@
 
     std::unique_ptr<Socket> socket;
     std::shared_ptr<SessionContext> context;
+    std::shared_ptr<CallerCharge> charge;
     SessionRunner runner;
     std::string database;
     // SHA-256 of the caller's key in hexadecimal; the key itself is not kept.
@@ -64,7 +77,7 @@
     OperationToken operationToken;
     // True while the session reads from the connection and runs no request.
     bool awaitingInput = false;
-    // Statements received, and the last of them.
+    // Statements received, and the first word of the last of them.
     std::uint64_t statements = 0;
     std::string lastStatement;
     // When the session was accepted or the last reply was sent.
@@ -73,6 +86,17 @@
     std::optional<TimePoint> noticeGivenAt;
     // True if the caller is to be told that the session ends.
     bool noticeDue = false;
+    // Limit that ends the session.
+    std::optional<CallerLimit> limitMet;
+    // Number of the deadline that is running; an earlier one that expires late has no effect.
+    std::uint64_t deadlineNumber = 0;
+    // True from the first byte of a message, or from the start for the opening message, until it is complete.
+    bool arriving = false;
+    // True once the opening message has been received.
+    bool opened = false;
+    // Bytes of the session's values and prepared statements, by kind and name.
+    std::map<std::string, std::uint64_t> keptBytes;
+    std::uint64_t keptBytesSum = 0;
 };
 
 } // namespace catkinlock
--- a/src/libsession/session_context.h
+++ b/src/libsession/session_context.h
@@ -14,6 +14,7 @@
 namespace catkinlock {
 
 class Admission;
+class CallerBudget;
 class CallerProtocol;
 class ReadForwarder;
 class ServiceLevel;
@@ -29,6 +30,8 @@
 struct SessionContext {
     boost::asio::any_io_executor executor;
     std::shared_ptr<const CallerProtocol> protocol;
+    /// The callers' connections are charged to it.
+    std::shared_ptr<CallerBudget> budget;
     std::shared_ptr<RcuSnapshot<FleetView>> view;
     std::shared_ptr<ViewFreshness> freshness;
     std::shared_ptr<Admission> admission;
--- a/src/libsession/session_front.cpp
+++ b/src/libsession/session_front.cpp
@@ -1,8 +1,12 @@
 #include "libsession/session_front.h"
 
 #include "catkinlock/address.h"
+#include "catkinlock/caller_budget.h"
+#include "catkinlock/caller_limit_log.h"
+#include "catkinlock/caller_protocol.h"
 #include "libsession/session.h"
 #include "libsession/spawn.h"
+#include <array>
 #include <boost/asio.hpp>
 
 namespace catkinlock {
@@ -75,13 +79,38 @@
 
 void SessionFront::serve(asio::ip::tcp::socket socket)
 {
-    auto session = std::make_shared<Session>(std::move(socket), this->sessionContext);
+    boost::system::error_code error;
+    auto endpoint = socket.remote_endpoint(error);
+    // A connection that has ended already has no address.
+    if (error)
+        return;
+    std::string address = endpoint.address().to_string();
+    auto charge = this->sessionContext->budget->admit(address);
+    if (!charge)
+        return this->refuse(std::move(socket), address, charge.error());
+    auto session = std::make_shared<Session>(std::move(socket), this->sessionContext, *charge);
     if (this->sessions.size() >= sweepThreshold)
         std::erase_if(this->sessions, [](const auto& weak) { return weak.expired(); });
     this->sessions.push_back(session);
     spawn(this->context, [session] { return session->run(); });
 }
 
+// Tells a caller that no connection is free. What it has sent is read before the close, which would otherwise reset the
+// connection and could lose the refusal.
+void SessionFront::refuse(asio::ip::tcp::socket socket, const std::string& address, CallerLimit limit) const
+{
+    reportCallerLimit(*this->sessionContext->budget, limit, "callers", address, 0);
+    std::string bytes;
+    this->sessionContext->protocol->appendRefusedOpening(
+        bytes, callerLimitError(limit), std::string("limit of this instance reached: ") + callerLimitName(limit));
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(bytes), ignored);
+    std::array<char, 4096> discarded {};
+    socket.read_some(asio::buffer(discarded), ignored);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 std::vector<std::shared_ptr<Session>> SessionFront::liveSessions()
 {
     std::vector<std::shared_ptr<Session>> found;
--- a/src/libsession/session_front.h
+++ b/src/libsession/session_front.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/caller_limits.h"
 #include "catkinlock/clock.h"
 #include "libsession/session_context.h"
 #include <boost/asio/awaitable.hpp>
@@ -31,6 +32,7 @@
     struct Acceptor;
     boost::asio::awaitable<void> accept();
     void serve(boost::asio::ip::tcp::socket);
+    void refuse(boost::asio::ip::tcp::socket, const std::string& address, CallerLimit) const;
     std::vector<std::shared_ptr<Session>> liveSessions();
 
     boost::asio::io_context& context;
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -1,6 +1,7 @@
 #include "libsession/target_link.h"
 
 #include "catkinlock/address.h"
+#include "catkinlock/caller_charge.h"
 #include "libplatform/socket_options.h"
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -14,6 +15,9 @@
 namespace {
 
     constexpr std::size_t readChunkBytes = 16 << 10;
+    constexpr std::size_t keptBufferBytes = 2 * readChunkBytes;
+    // A reply is held up to this many times: as it arrived, as rows, and as it is written to the caller.
+    constexpr std::uint64_t replyCopies = 3;
 
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
@@ -80,7 +84,8 @@
     co_return tl::expected<void, LinkFailure> {};
 }
 
-asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(
+    std::string bytes, TimePoint deadline, std::shared_ptr<CallerCharge> charge)
 {
     auto self = this->shared_from_this();
     LinkFailure failure;
@@ -91,6 +96,7 @@
     failure.mayHaveBeenSent = true;
     boost::system::error_code error = writeError;
     TargetReply reply;
+    std::uint64_t replyBytes = 0;
     while (!error) {
         auto complete = this->protocol->take(this->received, reply);
         if (!complete) {
@@ -99,6 +105,9 @@
             co_return tl::unexpected(failure);
         }
         if (*complete) {
+            // An idle connection doesn't keep the memory of a large reply.
+            if (this->received.capacity() > keptBufferBytes)
+                this->received.shrink_to_fit();
             this->lastState = reply.state;
             co_return reply;
         }
@@ -108,6 +117,13 @@
             = co_await stream.async_read_some(asio::buffer(this->received.data() + held, readChunkBytes), asResult());
         this->received.resize(held + size);
         error = readError;
+        replyBytes += size;
+        if (charge && charge->hold(CallerCharge::Part::Reply, replyBytes * replyCopies)) {
+            failure.message = "the reply exceeds the memory for callers; the connection was closed";
+            charge->record(CallerCharge::Part::Reply, 0);
+            this->close();
+            co_return tl::unexpected(failure);
+        }
     }
     failure.refusal = reply.error;
     failure.message
@@ -121,7 +137,7 @@
 {
     std::string bytes;
     this->protocol->appendStatement(bytes, statement, after, preparedName);
-    return this->exchange(std::move(bytes), deadline);
+    return this->exchange(std::move(bytes), deadline, statement.charge);
 }
 
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::command(
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -63,7 +63,8 @@
 
 private:
     struct Socket;
-    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, TimePoint deadline);
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(
+        std::string bytes, TimePoint deadline, std::shared_ptr<CallerCharge> = nullptr);
     // Runs a command. False if it failed; the connection is then closed.
     boost::asio::awaitable<bool> apply(TargetCommand, TimePoint deadline);
 
--- a/testsuite/untrusted_callers/untrusted_callers.cpp
+++ b/testsuite/untrusted_callers/untrusted_callers.cpp
@@ -271,6 +271,42 @@
     this->expectSurvival(this->callerAddress(), largeCrowdSize, behaviour);
 }
 
+// Guards against limits that a caller within the protocol meets.
+TEST_F(UntrustedCallers, AMessageOfLegalSizeIsServed)
+{
+    this->start(callerLimits);
+    LineCaller caller(this->callerAddress(), "primary-db", "key-1");
+    std::string data(legalBytes - 100, 'y');
+    EXPECT_NE(caller.run("WRITE large " + data).find("DONE s"), std::string::npos);
+    EXPECT_NE(caller.run("READ large").find("ROW " + data), std::string::npos);
+    EXPECT_NE(caller.run("SET tag " + data).find("DONE"), std::string::npos);
+    EXPECT_NE(caller.run("READ seat").find("ROW kept" + data), std::string::npos);
+}
+
+// The session is idle for longer than a message may take to arrive.
+TEST_F(UntrustedCallers, AnIdleTransactionStaysOpenBesideACrowd)
+{
+    this->start(callerLimits);
+    LineCaller caller(this->callerAddress(), "primary-db", "key-1");
+    EXPECT_NE(caller.run("BEGIN").find("READY T"), std::string::npos);
+    EXPECT_NE(caller.run("WRITE seat two").find("READY T"), std::string::npos);
+    CrowdBehaviour behaviour { opening + std::string(2 << 20, 'x') };
+    Crowd crowd(this->callerAddress(), crowdSize, behaviour);
+    auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(2300);
+    while (std::chrono::steady_clock::now() < end)
+        crowd.step();
+    EXPECT_NE(caller.run("COMMIT").find("DONE s"), std::string::npos) << this->front().output();
+    EXPECT_NE(caller.run("READ seat").find("ROW two"), std::string::npos);
+}
+
+TEST_F(UntrustedCallers, AMessageOverTheLimitIsRefusedByItsError)
+{
+    this->start(callerLimits);
+    LineCaller caller(this->callerAddress(), "primary-db", "key-1");
+    EXPECT_NE(caller.run("WRITE seat " + std::string(2 << 20, 'x')).find("ERR TOOLARGE"), std::string::npos);
+    EXPECT_NE(this->front().output().find("caller_limit_reached"), std::string::npos);
+}
+
 TEST_F(UntrustedCallers, TheReadyPageIsBounded)
 {
     this->start(callerLimits + std::string(connectionLimits));
