A reply that does not fit the memory for callers is not a failure of its member

The reply is read to its end without being held. Closing the connection would have counted against the member, so that callers could have had a primary replaced.

--- a/src/include/catkinlock/target_protocol.h
+++ b/src/include/catkinlock/target_protocol.h
@@ -27,6 +27,9 @@
     /// Removes what has arrived of a reply from the front of `buffer` and adds it to `reply`. True once the reply is
     /// complete, false if more bytes are needed, no value if the bytes are not a valid reply.
     virtual std::optional<bool> take(std::string& buffer, TargetReply& reply) const = 0;
+    /// Removes from an incomplete reply in `buffer` what belongs to a row that is not complete, so that a reply can be
+    /// read to its end without being held.
+    virtual void shortenRow(std::string& buffer) const = 0;
     /// The report in a reply to Status, Pause or StepDown; no value if the reply is an error or has no report.
     virtual std::optional<MemberReport> report(const TargetReply&) const = 0;
 };
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -19,6 +19,16 @@
     // A reply is held up to this many times: as it arrived, as rows, and as it is written to the caller.
     constexpr std::uint64_t replyCopies = 3;
 
+    // The reply to a statement that was run, and whose rows did not fit the memory for callers. The member is not at
+    // fault, so the connection stays in use.
+    void recordTooLarge(TargetReply& reply, StatementKind kind)
+    {
+        if (reply.error)
+            return;
+        reply.error = kind == StatementKind::Read ? StatementError::TooLarge : StatementError::InDoubt;
+        reply.errorText = "the reply does not fit the memory for callers";
+    }
+
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
 } // namespace
@@ -84,8 +94,8 @@
     co_return tl::expected<void, LinkFailure> {};
 }
 
-asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(
-    std::string bytes, TimePoint deadline, std::shared_ptr<CallerCharge> charge)
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchangeCharged(
+    std::string bytes, TimePoint deadline, StatementKind kind, std::shared_ptr<CallerCharge> charge)
 {
     auto self = this->shared_from_this();
     LinkFailure failure;
@@ -97,6 +107,7 @@
     boost::system::error_code error = writeError;
     TargetReply reply;
     std::uint64_t replyBytes = 0;
+    bool tooLarge = false;
     while (!error) {
         auto complete = this->protocol->take(this->received, reply);
         if (!complete) {
@@ -104,11 +115,18 @@
             this->close();
             co_return tl::unexpected(failure);
         }
+        if (tooLarge) {
+            reply.rows.clear();
+            this->protocol->shortenRow(this->received);
+            charge->record(CallerCharge::Part::Reply, this->received.size());
+        }
         if (*complete) {
             // An idle connection doesn't keep the memory of a large reply.
             if (this->received.capacity() > keptBufferBytes)
                 this->received.shrink_to_fit();
             this->lastState = reply.state;
+            if (tooLarge)
+                recordTooLarge(reply, kind);
             co_return reply;
         }
         std::size_t held = this->received.size();
@@ -118,12 +136,7 @@
         this->received.resize(held + size);
         error = readError;
         replyBytes += size;
-        if (charge && charge->hold(CallerCharge::Part::Reply, replyBytes * replyCopies)) {
-            failure.message = "the reply exceeds the memory for callers; the connection was closed";
-            charge->record(CallerCharge::Part::Reply, 0);
-            this->close();
-            co_return tl::unexpected(failure);
-        }
+        tooLarge = tooLarge || (charge && charge->hold(CallerCharge::Part::Reply, replyBytes * replyCopies));
     }
     failure.refusal = reply.error;
     failure.message
@@ -132,12 +145,17 @@
     co_return tl::unexpected(failure);
 }
 
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
+{
+    return this->exchangeCharged(std::move(bytes), deadline, StatementKind::Other, nullptr);
+}
+
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::send(
     SessionStatement statement, std::optional<Position> after, std::string preparedName, TimePoint deadline)
 {
     std::string bytes;
     this->protocol->appendStatement(bytes, statement, after, preparedName);
-    return this->exchange(std::move(bytes), deadline, statement.charge);
+    return this->exchangeCharged(std::move(bytes), deadline, statement.kind, statement.charge);
 }
 
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::command(
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -63,8 +63,10 @@
 
 private:
     struct Socket;
-    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(
-        std::string bytes, TimePoint deadline, std::shared_ptr<CallerCharge> = nullptr);
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, TimePoint deadline);
+    // Sends a statement whose reply is charged; without a charge, it may have any size.
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchangeCharged(
+        std::string bytes, TimePoint deadline, StatementKind, std::shared_ptr<CallerCharge>);
     // Runs a command. False if it failed; the connection is then closed.
     boost::asio::awaitable<bool> apply(TargetCommand, TimePoint deadline);
 
