--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -213,10 +213,10 @@
     this->readService = std::make_shared<ReadService>(
         ReadService::Parts { this->control.get_executor(), this->link, this->sessions });
     this->front = std::make_shared<SessionFront>(this->requests, this->sessions);
-    this->readyServer = std::make_shared<PageServer>(
-        this->control, [this](const std::string& path) { return this->readyPage(path); });
-    this->metricsServer
-        = std::make_shared<PageServer>(this->control, [this](const std::string&) { return this->metricsPage(); });
+    this->readyServer = std::make_shared<PageServer>(this->control, "ready", derivePageLimits(this->settings.limits),
+        [this](const std::string& path) { return this->readyPage(path); });
+    this->metricsServer = std::make_shared<PageServer>(this->control, "metrics",
+        derivePageLimits(this->settings.limits), [this](const std::string&) { return this->metricsPage(); });
 }
 
 bool FrontInstance::Parts::open()
--- a/testsuite/untrusted_callers/untrusted_callers.cpp
+++ b/testsuite/untrusted_callers/untrusted_callers.cpp
@@ -321,6 +321,23 @@
     this->expectSurvival(this->fronts->metricsAddress(0), largeCrowdSize, { repeated(request, 2000) });
 }
 
+// Guards against a crowd that keeps a load balancer from the page, so that the instance gets no more callers.
+TEST_F(UntrustedCallers, TheReadyPageIsAnsweredBesideACrowd)
+{
+    this->start(callerLimits + std::string(connectionLimits));
+    Crowd crowd(this->fronts->readyAddress(0), largeCrowdSize, { "GET /rea" });
+    while (crowd.step()) { }
+    asio::io_context pageContext;
+    asio::ip::tcp::socket socket(pageContext);
+    socket.connect(parseAddress(this->fronts->readyAddress(0)));
+    std::string request = "GET /ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    std::string response;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(response), error);
+    EXPECT_NE(response.find("200 OK"), std::string::npos) << response;
+}
+
 // The crowd speaks the peers' transport, but does not know the fleet's secret.
 TEST_F(UntrustedCallers, MessagesAtThePeerPortAreBounded)
 {
