--- a/src/catkinlock/serve_command.cpp
+++ b/src/catkinlock/serve_command.cpp
@@ -1,5 +1,6 @@
 // Commands serve and check.
 
+#include "catkinlock/allocation.h"
 #include "catkinlock/command.h"
 #include "catkinlock/log.h"
 #include "catkinlock/operator_client.h"
@@ -50,6 +51,7 @@
 int runServe(const CommandOptions& options)
 {
     ProcessSignals::block();
+    returnLargeBuffers();
     Settings settings;
     if (!loadSettings(options.settingsFile, settings))
         return ExitInvalid;
--- a/src/include/catkinlock/caller_limits.h
+++ b/src/include/catkinlock/caller_limits.h
@@ -48,6 +48,11 @@
 /// and the descriptors of the process; either may be 0 if it is not known.
 CallerLimits deriveCallerLimits(const CallerLimitSettings&, std::uint32_t memoryMb, std::uint32_t maxFds);
 
+struct Settings;
+
+/// The limits of the HTTP listener. A request's size and times have settings of their own.
+CallerLimits deriveHttpLimits(const Settings&);
+
 /// The limits of a listener for operators' pages.
 CallerLimits derivePageLimits(const CallerLimitSettings&);
 
--- a/src/libcore/caller_limits.cpp
+++ b/src/libcore/caller_limits.cpp
@@ -1,5 +1,7 @@
 #include "catkinlock/caller_limits.h"
 
+#include "catkinlock/settings.h"
+
 #include <algorithm>
 #include <array>
 
@@ -20,6 +22,9 @@
     constexpr std::uint64_t connectionDivisor = 2;
     constexpr std::uint64_t minConnectionBytes = 12 << 20;
 
+    // A request's body with the copies that serving it takes.
+    constexpr std::uint64_t bodyCopies = 6;
+
     std::uint64_t firstSet(std::uint64_t set, std::uint64_t derived) { return set ? set : derived; }
 
 } // namespace
@@ -46,6 +51,18 @@
     return limits;
 }
 
+CallerLimits deriveHttpLimits(const Settings& settings)
+{
+    CallerLimits limits;
+    std::uint64_t derived = (std::uint64_t(settings.memoryMb) << 20) / memoryDivisor;
+    if (derived)
+        derived = std::max(derived, bodyCopies * settings.bodyBytes);
+    limits.maxTotalBytes = firstSet(settings.totalBytes, derived);
+    limits.maxConnections = firstSet(settings.connections, settings.maxFds / descriptorDivisor);
+    limits.maxConnectionsPerAddress = settings.connectionsPerAddress;
+    return limits;
+}
+
 CallerLimits derivePageLimits(const CallerLimitSettings& settings)
 {
     CallerLimits limits;
--- a/src/libserver/http_server.cpp
+++ b/src/libserver/http_server.cpp
@@ -1,7 +1,10 @@
 #include "libserver/http_server.h"
 
 #include "catkinlock/address.h"
+#include "catkinlock/caller_limit_log.h"
+#include <array>
 #include <boost/asio.hpp>
+#include <string_view>
 
 namespace catkinlock {
 
@@ -11,6 +14,9 @@
 
     // Delay after a failed accept, for example when the process has run out of file descriptors.
     constexpr Milliseconds acceptRetryDelay { 20 };
+    // Sent to a connection over the limits.
+    constexpr std::string_view refusalText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                                             "Content-Length: 0\r\nConnection: close\r\n\r\n";
 
 } // namespace
 
@@ -52,6 +58,28 @@
     });
 }
 
+// What a refused caller has sent is read before the close, which would otherwise reset the connection and could lose
+// the refusal.
+std::shared_ptr<CallerCharge> HttpServer::admit(asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code error;
+    auto endpoint = socket.remote_endpoint(error);
+    // A connection that has ended already has no address.
+    if (error)
+        return nullptr;
+    std::string address = endpoint.address().to_string();
+    auto charge = this->httpContext->budget->admit(address);
+    if (charge)
+        return *charge;
+    reportCallerLimit(*this->httpContext->budget, charge.error(), "http", address, 0);
+    socket.non_blocking(true, error);
+    socket.write_some(asio::buffer(refusalText), error);
+    std::array<char, 4096> discarded {};
+    socket.read_some(asio::buffer(discarded), error);
+    socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+    return nullptr;
+}
+
 asio::awaitable<void> HttpServer::accept()
 {
     auto self = this->shared_from_this();
@@ -67,7 +95,11 @@
             co_await retryTimer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        auto session = std::make_shared<HttpSession>(std::move(socket), this->httpContext);
+        asio::ip::tcp::socket accepted(std::move(socket));
+        auto charge = this->admit(accepted);
+        if (!charge)
+            continue;
+        auto session = std::make_shared<HttpSession>(std::move(accepted), this->httpContext, charge);
         asio::co_spawn(
             strand, [session] { return session->run(); }, asio::detached);
     }
--- a/src/libserver/http_server.h
+++ b/src/libserver/http_server.h
@@ -24,6 +24,8 @@
 private:
     struct Acceptor;
     boost::asio::awaitable<void> accept();
+    // Null, after a refusal, if a limit is reached.
+    std::shared_ptr<CallerCharge> admit(boost::asio::ip::tcp::socket&);
 
     boost::asio::io_context& context;
     std::shared_ptr<HttpContext> httpContext;
--- a/src/libserver/http_session.cpp
+++ b/src/libserver/http_session.cpp
@@ -1,5 +1,6 @@
 #include "libserver/http_session.h"
 
+#include "catkinlock/caller_limit_log.h"
 #include "catkinlock/result_json.h"
 #include <array>
 #include <boost/asio.hpp>
@@ -23,6 +24,9 @@
     constexpr const char* transactionSuffix = "/transaction";
     constexpr const char* settleSuffix = "/settle";
     constexpr std::size_t maxIdempotencyKeyBytes = 256;
+    // While a request is served, its body is held up to this many times: as received, as JSON, as the request's
+    // statements and as they are sent to the members.
+    constexpr std::uint64_t requestCopies = 4;
 
     // HTTP status of each refusal code. Other codes get 503, unknown outcomes 504.
     struct CodeStatus {
@@ -161,6 +165,8 @@
 
 } // namespace
 
+struct HttpSession::Parser : http::request_parser<http::string_body> { };
+
 struct HttpSession::Stream {
     explicit Stream(asio::ip::tcp::socket socket)
         : tcp(std::move(socket))
@@ -170,9 +176,11 @@
     beast::flat_buffer buffer;
 };
 
-HttpSession::HttpSession(asio::ip::tcp::socket socket, std::shared_ptr<HttpContext> context)
+HttpSession::HttpSession(
+    asio::ip::tcp::socket socket, std::shared_ptr<HttpContext> context, std::shared_ptr<CallerCharge> charge)
     : stream(std::make_unique<Stream>(std::move(socket)))
     , context(std::move(context))
+    , charge(std::move(charge))
 {
     ++this->context->openConnections;
     boost::system::error_code ignored;
@@ -189,25 +197,56 @@
     this->stream->tcp.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+// Charges what has arrived of a request. False if the request met a limit.
+bool HttpSession::chargeReceived(const Parser& parser)
+{
+    std::uint64_t bytes = this->stream->buffer.capacity() + parser.get().body().size();
+    auto limit = this->charge->hold(CallerCharge::Part::Received, bytes);
+    if (limit)
+        reportCallerLimit(*this->context->budget, *limit, "http", this->charge->address(), this->charge->bytes());
+    return !limit;
+}
+
+asio::awaitable<boost::system::error_code> HttpSession::readRequest(std::shared_ptr<Parser> parser)
+{
+    while (!parser->is_done()) {
+        auto [error, size] = co_await http::async_read_some(
+            this->stream->tcp, this->stream->buffer, *parser, asio::as_tuple(asio::use_awaitable));
+        if (error)
+            co_return error;
+        if (!this->chargeReceived(*parser))
+            co_return make_error_code(boost::system::errc::no_buffer_space);
+    }
+    std::uint64_t bytes = requestCopies * parser->get().body().size();
+    auto limit = this->charge->hold(CallerCharge::Part::Statement, bytes);
+    boost::system::error_code done;
+    if (!limit)
+        co_return done;
+    reportCallerLimit(*this->context->budget, *limit, "http", this->charge->address(), this->charge->bytes());
+    co_return make_error_code(boost::system::errc::no_buffer_space);
+}
+
 asio::awaitable<bool> HttpSession::serveRequest()
 {
     // The parser is kept on the heap and freed once the request is read, so that it takes no memory while the request
     // is served.
-    auto parser = std::make_unique<http::request_parser<http::string_body>>();
+    auto parser = std::make_shared<Parser>();
     parser->header_limit(this->context->limits.headerBytes);
     parser->body_limit(this->context->limits.bodyBytes);
     this->stream->tcp.expires_after(this->context->limits.idleTimeout);
-    auto [readError, size] = co_await http::async_read(
-        this->stream->tcp, this->stream->buffer, *parser, asio::as_tuple(asio::use_awaitable));
+    auto readError = co_await this->readRequest(parser);
+    bool overLimit = readError == make_error_code(boost::system::errc::no_buffer_space);
     bool tooLarge = readError == http::error::body_limit || readError == http::error::header_limit;
     bool malformed = readError.category() == make_error_code(http::error::bad_method).category();
-    if (readError && (readError == http::error::end_of_stream || (!tooLarge && !malformed)))
+    if (readError && (readError == http::error::end_of_stream || (!tooLarge && !malformed && !overLimit)))
         co_return false;
     ++this->context->inFlight;
     auto startedAt = Clock::now();
     BeastResponse response;
     bool keepAlive = !readError;
-    if (readError)
+    if (overLimit)
+        response = refusalResponse(notRun("memory_limit", "the memory of this instance for callers is used up"));
+    else if (readError)
         response = refusalResponse(tooLarge
                 ? notRun("body_too_large", "the request's header or body exceeds the size limit of this instance")
                 : notRun("bad_request", "malformed HTTP request: " + readError.message()));
@@ -231,6 +270,10 @@
                 route, outcome.workspace, result ? nullptr : &result.error(), Clock::now() - startedAt);
         }
     }
+    parser.reset();
+    this->charge->record(CallerCharge::Part::Received, this->stream->buffer.capacity());
+    this->charge->record(CallerCharge::Part::Statement, 0);
+    this->charge->record(CallerCharge::Part::Reply, response.body().size());
     keepAlive = keepAlive && !this->context->closing;
     response.keep_alive(keepAlive);
     response.prepare_payload();
@@ -238,6 +281,7 @@
     auto [writeError, written]
         = co_await http::async_write(this->stream->tcp, response, asio::as_tuple(asio::use_awaitable));
     --this->context->inFlight;
+    this->charge->record(CallerCharge::Part::Reply, 0);
     co_return keepAlive && !writeError;
 }
 
--- a/src/libserver/http_session.h
+++ b/src/libserver/http_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "catkinlock/caller_budget.h"
 #include "catkinlock/caller_request.h"
 #include "libserver/request_pipeline.h"
 #include <atomic>
@@ -28,6 +29,8 @@
         = std::function<void(const std::string& route, const std::string& workspace, const Refusal*, Duration latency)>;
 
     std::shared_ptr<RequestPipeline> pipeline;
+    /// The callers' connections are charged to it.
+    std::shared_ptr<CallerBudget> budget;
     Limits limits;
     Observer observe;
     /// Returns the status code and the body of an operators' page, which is requested by GET.
@@ -44,20 +47,25 @@
 /// while it runs.
 class HttpSession : public std::enable_shared_from_this<HttpSession> {
 public:
-    HttpSession(boost::asio::ip::tcp::socket, std::shared_ptr<HttpContext>);
+    HttpSession(boost::asio::ip::tcp::socket, std::shared_ptr<HttpContext>, std::shared_ptr<CallerCharge>);
     ~HttpSession();
 
     /// Serves requests until the connection is closed.
     boost::asio::awaitable<void> run();
 
 private:
+    struct Parser;
     struct Stream;
 
+    // Reads one request. The error is that of HTTP, or `no_buffer_space` if the request met a limit.
+    boost::asio::awaitable<boost::system::error_code> readRequest(std::shared_ptr<Parser>);
+    bool chargeReceived(const Parser&);
     // Reads one request and writes its response. False if the connection must be closed.
     boost::asio::awaitable<bool> serveRequest();
 
     std::unique_ptr<Stream> stream;
     std::shared_ptr<HttpContext> context;
+    std::shared_ptr<CallerCharge> charge;
 };
 
 } // namespace catkinlock
--- a/src/libserver/instance.cpp
+++ b/src/libserver/instance.cpp
@@ -6,6 +6,7 @@
 #include "catkinlock/rendezvous.h"
 #include "catkinlock/routing_view.h"
 #include "libserver/admission.h"
+#include "libserver/caller_metrics.h"
 #include "libserver/config_follower.h"
 #include "libserver/forwarder.h"
 #include "libserver/gateway_registry.h"
@@ -173,6 +174,7 @@
         this->freshness, this->forwarder, this->settings.fleetSecret, Milliseconds(this->settings.requestTimeoutMs) });
     this->http->limits
         = { this->settings.headerBytes, this->settings.bodyBytes, std::chrono::seconds(this->settings.idleSeconds) };
+    this->http->budget = std::make_shared<CallerBudget>(deriveHttpLimits(this->settings));
     this->http->observe
         = [level = this->serviceLevel](const std::string& route, const std::string& workspace, const Refusal* refusal,
               Duration latency) { level->observe(route, workspace, refusal, latency); };
@@ -510,6 +512,7 @@
         add("elections_total", "Elections started here", counters.elections);
         add("elections_won_total", "Primaries promoted from here", counters.electionsWon);
     }
+    appendCallerMetrics(metrics, *this->http->budget);
     return renderMetrics(metrics, *this->serviceLevel);
 }
 
