--- a/src/libcore/front_settings.cpp
+++ b/src/libcore/front_settings.cpp
@@ -7,6 +7,20 @@
 namespace {
 
     constexpr std::size_t minSecretLength = 16;
+    constexpr std::uint32_t maxBytes = UINT32_MAX;
+    constexpr std::uint32_t maxTimeMs = 86400000;
+
+    void readLimits(SettingsReader& reader, CallerLimitSettings& limits)
+    {
+        reader.number("limits", "connection_bytes", limits.connectionBytes, 0, maxBytes);
+        reader.number("limits", "total_bytes", limits.totalBytes, 0, maxBytes);
+        reader.number("limits", "connections", limits.connections, 0, 1 << 24);
+        reader.number("limits", "connections_per_address", limits.connectionsPerAddress, 0, 1 << 24);
+        reader.number("limits", "arrival_ms", limits.arrivalMs, 100, maxTimeMs);
+        reader.number("limits", "reply_ms", limits.replyMs, 100, maxTimeMs);
+        reader.number("limits", "page_connections", limits.pageConnections, 1, 1 << 24);
+        reader.number("limits", "page_ms", limits.pageMs, 100, maxTimeMs);
+    }
 
 } // namespace
 
@@ -29,6 +43,8 @@
     reader.text("instance", "metrics", settings.metricsAddress, false);
     reader.address("instance", "peer", settings.peerAddress);
     reader.real("instance", "cores", settings.cores, 0, 1024);
+    reader.number("instance", "memory_mb", settings.memoryMb, 0, 1 << 20);
+    reader.number("instance", "max_fds", settings.maxFds, 0, 1 << 24);
     reader.number("instance", "drain_seconds", settings.drainSeconds, 1, 600);
     reader.text("platform", "adapter", settings.adapter, true);
     reader.address("platform", "store", settings.storeAddress);
@@ -46,6 +62,7 @@
     reader.real("fleet", "warm_up_slack", settings.warmUpSlack, 0, 1000000);
     if (auto budget = settings.viewBudget(); !budget)
         reader.addError(reader.line("fleet", "apply_ms"), "fleet", "apply_ms", budget.error().message);
+    readLimits(reader, settings.limits);
     reader.rejectUnknownKeys();
     if (!reader.errors.empty())
         return tl::unexpected(reader.errors);
--- a/src/libsession/target_link.cpp
+++ b/src/libsession/target_link.cpp
@@ -1,6 +1,7 @@
 #include "libsession/target_link.h"
 
 #include "catkinlock/address.h"
+#include "catkinlock/caller_charge.h"
 #include "libplatform/socket_options.h"
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -14,6 +15,19 @@
 namespace {
 
     constexpr std::size_t readChunkBytes = 16 << 10;
+    constexpr std::size_t keptBufferBytes = 2 * readChunkBytes;
+    // A reply is held up to this many times: as it arrived, as rows, and as it is written to the caller.
+    constexpr std::uint64_t replyCopies = 3;
+
+    // The reply to a statement that was run, and whose rows did not fit the memory for callers. The member is not at
+    // fault, so the connection stays in use.
+    void recordTooLarge(TargetReply& reply, StatementKind kind)
+    {
+        if (reply.error)
+            return;
+        reply.error = kind == StatementKind::Read ? StatementError::TooLarge : StatementError::InDoubt;
+        reply.errorText = "the reply does not fit the memory for callers";
+    }
 
     auto asResult() { return asio::as_tuple(asio::use_awaitable); }
 
@@ -80,23 +94,27 @@
     co_return tl::expected<void, LinkFailure> {};
 }
 
-asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchangeCharged(
+    std::string bytes, TimePoint deadline, StatementKind kind, std::shared_ptr<CallerCharge> charge)
 {
     auto self = this->shared_from_this();
     auto& stream = this->socket->stream;
     // The stream's timer runs on another clock.
     stream.expires_after(std::max(Duration(0), deadline - Clock::now()));
     auto [writeError, written] = co_await asio::async_write(stream, asio::buffer(bytes), asResult());
-    co_return co_await this->receive(writeError);
+    co_return co_await this->receive(writeError, kind, std::move(charge));
 }
 
 // Reads one reply, unless `error` says that the connection is broken.
-asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::receive(boost::system::error_code error)
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::receive(
+    boost::system::error_code error, StatementKind kind, std::shared_ptr<CallerCharge> charge)
 {
     auto self = this->shared_from_this();
     LinkFailure failure;
     failure.mayHaveBeenSent = true;
     TargetReply reply;
+    std::uint64_t replyBytes = 0;
+    bool tooLarge = false;
     while (!error) {
         auto complete = this->protocol->take(this->received, reply);
         if (!complete) {
@@ -104,8 +122,18 @@
             this->close();
             co_return tl::unexpected(failure);
         }
+        if (tooLarge) {
+            reply.rows.clear();
+            this->protocol->shortenRow(this->received);
+            charge->record(CallerCharge::Part::Reply, this->received.size());
+        }
         if (*complete) {
+            // An idle connection doesn't keep the memory of a large reply.
+            if (this->received.capacity() > keptBufferBytes)
+                this->received.shrink_to_fit();
             this->lastState = reply.state;
+            if (tooLarge)
+                recordTooLarge(reply, kind);
             co_return reply;
         }
         std::size_t held = this->received.size();
@@ -114,6 +142,8 @@
             asio::buffer(this->received.data() + held, readChunkBytes), asResult());
         this->received.resize(held + size);
         error = readError;
+        replyBytes += size;
+        tooLarge = tooLarge || (charge && charge->hold(CallerCharge::Part::Reply, replyBytes * replyCopies));
     }
     failure.refusal = reply.error;
     failure.message
@@ -122,12 +152,17 @@
     co_return tl::unexpected(failure);
 }
 
+asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::exchange(std::string bytes, TimePoint deadline)
+{
+    return this->exchangeCharged(std::move(bytes), deadline, StatementKind::Other, nullptr);
+}
+
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::send(
     SessionStatement statement, std::optional<Position> after, std::string preparedName, TimePoint deadline)
 {
     std::string bytes;
     this->protocol->appendStatement(bytes, statement, after, preparedName);
-    return this->exchange(std::move(bytes), deadline);
+    return this->exchangeCharged(std::move(bytes), deadline, statement.kind, statement.charge);
 }
 
 asio::awaitable<tl::expected<TargetReply, LinkFailure>> TargetLink::command(
@@ -149,7 +184,7 @@
     this->socket->stream.expires_after(std::max(Duration(0), deadline - Clock::now()));
     auto [error, written] = co_await asio::async_write(this->socket->stream, asio::buffer(bytes), asResult());
     for (std::size_t i = 0; i < commands.size(); ++i) {
-        auto reply = co_await this->receive(error);
+        auto reply = co_await this->receive(error, StatementKind::Other, nullptr);
         if (reply && !reply->error)
             continue;
         this->close();
--- a/src/libsession/target_link.h
+++ b/src/libsession/target_link.h
@@ -66,7 +66,11 @@
 private:
     struct Socket;
     boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchange(std::string bytes, TimePoint deadline);
-    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> receive(boost::system::error_code);
+    // Sends a statement whose reply is charged; without a charge, it may have any size.
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> exchangeCharged(
+        std::string bytes, TimePoint deadline, StatementKind, std::shared_ptr<CallerCharge>);
+    boost::asio::awaitable<tl::expected<TargetReply, LinkFailure>> receive(
+        boost::system::error_code, StatementKind, std::shared_ptr<CallerCharge>);
     boost::asio::awaitable<bool> applyAll(std::vector<TargetCommand>, TimePoint deadline);
     std::vector<TargetCommand> commandsFor(const std::map<std::string, std::string>& required) const;
 
