Let a statement wait for a place at a gateway for half of its objective

The queue at the gateway takes the place of the one at the member, in which a statement waited without a bound.

--- a/src/include/catkinlock/tables.h
+++ b/src/include/catkinlock/tables.h
@@ -88,6 +88,10 @@
 /// at a member) before it is refused: a quarter of the latency objective, at least 50 ms.
 std::chrono::milliseconds capacityWait(const Route&);
 
+/// How long a statement of the route may wait at a gateway for a place at a member: half of the latency objective, at
+/// least 50 ms. Gateways keep the queue that would otherwise form at the member, where nothing bounds the wait.
+std::chrono::milliseconds placeWait(const Route&);
+
 /// A tenant, with its rate limit over the whole fleet.
 struct Workspace {
     std::string name;
--- a/src/libcore/tables.cpp
+++ b/src/libcore/tables.cpp
@@ -123,6 +123,8 @@
 
     // A statement waits for capacity for at most its route's latency objective divided by this.
     constexpr int capacityWaitDivisor = 4;
+    // The same for a wait at a gateway, which takes the place of the queue at the member.
+    constexpr int placeWaitDivisor = 2;
     // Lower bound of that wait, also used for routes without an objective.
     constexpr std::chrono::milliseconds minCapacityWait { 50 };
     constexpr std::uint32_t maxConnectionsPerMember = 10000;
@@ -214,6 +216,11 @@
     return std::max(std::chrono::milliseconds(route.latencyObjectiveMs) / capacityWaitDivisor, minCapacityWait);
 }
 
+std::chrono::milliseconds placeWait(const Route& route)
+{
+    return std::max(std::chrono::milliseconds(route.latencyObjectiveMs) / placeWaitDivisor, minCapacityWait);
+}
+
 tl::expected<Pool, Error> parsePool(const std::string& name, const std::string& text)
 {
     std::string path = "pool " + name;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -464,6 +464,12 @@
     return !placement.isPrimary || this->isPrimaryInUse(*placement.pool, call.route.pool);
 }
 
+// End of a wait for a place at a member that begins now.
+TimePoint SessionRunner::endOfPlaceWait(const StatementCall& call) const
+{
+    return call.endOfPlaceWait(Clock::now(), this->context->groups->usesGateways(call.route.pool));
+}
+
 asio::awaitable<SessionRunner::Attempt> SessionRunner::exchange(std::shared_ptr<TargetLink> link, Placement placement,
     SessionStatement statement, StatementCall call, TimePoint deadline)
 {
@@ -577,7 +583,7 @@
 {
     ++this->attempts;
     this->memberId = placement.pool->target().id;
-    TimePoint waitUntil = std::min(deadline, call.endOfCapacityWait(Clock::now()));
+    TimePoint waitUntil = std::min(deadline, this->endOfPlaceWait(call));
     auto link
         = co_await placement.pool->borrow(call.workspace, call.route.priority, waitUntil, placement.isReplaceable);
     Attempt attempt;
@@ -669,7 +675,7 @@
         ++this->attempts;
         this->memberId = placement->pool->target().id;
         tried.insert(this->memberId);
-        TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
+        TimePoint waitUntil = this->endOfPlaceWait(call);
         auto link = co_await placement->pool->borrow(
             call.workspace, call.route.priority, waitUntil, placement->isReplaceable);
         if (!link) {
@@ -701,7 +707,7 @@
         sentAt = Clock::now();
         reply = co_await link->command(begin, placement.after, call.deadline);
     }
-    TimePoint waitUntil = call.endOfCapacityWait(Clock::now());
+    TimePoint waitUntil = this->endOfPlaceWait(call);
     while (stateApplied && reply && reply->error == StatementError::Busy && Clock::now() + busyRetryDelay < waitUntil
         && this->mayStillRun(placement, call)) {
         placement.pool->recordBusy(Clock::now());
--- a/src/libsession/session_runner.h
+++ b/src/libsession/session_runner.h
@@ -38,6 +38,11 @@
     {
         return std::min(this->deadline, now + capacityWait(this->route));
     }
+    /// The same for the wait for a place at a member. `queuesHere`: the statements to the members queue at gateways.
+    TimePoint endOfPlaceWait(TimePoint now, bool queuesHere) const
+    {
+        return queuesHere ? std::min(this->deadline, now + placeWait(this->route)) : this->endOfCapacityWait(now);
+    }
     /// False once the caller may no longer run the statement. Checked again just before the statement is sent to a
     /// member, because it may have waited for a connection since it was admitted.
     std::function<bool()> isAllowed;
@@ -152,6 +157,7 @@
     Placement transactionPlacement(const SessionStatement&) const;
     bool isPrimaryInUse(const TargetPool&, const std::string& service) const;
     bool mayStillRun(const Placement&, const StatementCall&) const;
+    TimePoint endOfPlaceWait(const StatementCall&) const;
     boost::asio::awaitable<Attempt> exchange(
         std::shared_ptr<TargetLink>, Placement, SessionStatement, StatementCall, TimePoint deadline);
 
--- a/src/libsession/statement_forwarder_test.cpp
+++ b/src/libsession/statement_forwarder_test.cpp
@@ -1041,6 +1041,7 @@
     int repeats = *rc::gen::inRange(0, 40);
     FaultyNetwork faults(seed, loss, late, repeats);
     std::vector<std::unique_ptr<PlayedSession>> sessions;
+    sessions.reserve(24);
     for (int number = 0; number < 24; ++number)
         sessions.push_back(std::make_unique<PlayedSession>(fixture, faults, number));
     fixture.play([&]() -> asio::awaitable<void> { co_await playSchedule(fixture, faults, sessions); });
