Give a waiting statement its connection when its wait has just expired

A connection that was returned, or failed to open, when the first part of a wait had expired but its handler had not run was not noticed: the statement waited on to its deadline with the connection in hand, and then ended as not sent. A busy thread makes this likely. TargetPool.AConnectionThatIsReturnedAsAWaitExpiresIsUsedAtOnce guards against it. Attempts at starting a transaction share one wait, and a reply that doesn't fit the memory for callers counts no longer against its member.

--- a/src/libsession/front_instance.cpp
+++ b/src/libsession/front_instance.cpp
@@ -541,7 +541,9 @@
         { "gateway_losses_total", "Reads that a gateway did not serve", count(this->sessions->reads->lost()), true },
         { "statements_forwarded_total", "Statements of writes and transactions that a gateway has replied to",
             count(this->sessions->statementForwarder->forwarded()), true },
-        { "statement_losses_total", "Statements of writes and transactions that a gateway did not run",
+        { "statement_losses_total",
+            "Statements of writes and transactions that were not sent, that a gateway refused, or whose reply is "
+            "missing",
             count(this->sessions->statementForwarder->lost()), true },
         { "gateway_operations", "Writes and transactions in progress here for other instances",
             count(this->statementService->open()) },
--- a/src/libsession/gateway_choice.h
+++ b/src/libsession/gateway_choice.h
@@ -13,7 +13,8 @@
 struct FleetView;
 
 /// True if an instance's share of a member's connections is too small to keep connections for the workspaces that it
-/// serves. Reads of a workspace then go through one instance for each service, its gateway, which keeps them.
+/// serves. Operations of a workspace on a service then go through one instance, its gateway, which keeps the
+/// connections.
 bool needsGateways(std::size_t connections, std::size_t instances);
 
 /// What an operation is sent to a gateway for.
--- a/src/libsession/read_forwarder.cpp
+++ b/src/libsession/read_forwarder.cpp
@@ -79,7 +79,7 @@
     this->send(pending->gatewayAddress, read, id, deadline);
     co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     if (pending->running && !pending->replied) {
-        pending->ended.expires_after(deadline - Clock::now());
+        pending->ended.expires_after(std::max(Duration(0), deadline - Clock::now()));
         co_await pending->ended.async_wait(asio::as_tuple(asio::use_awaitable));
     }
     pending->givenUp = !pending->replied;
--- a/src/libsession/session_runner.cpp
+++ b/src/libsession/session_runner.cpp
@@ -538,7 +538,9 @@
     }
     pool->recordReply(now - sentAt, wrote && done, attempt.reply.position, now);
     // Callers' own errors meet all members alike, except those of writes, which only the primary runs.
-    bool failed = !done && (attempt.reply.error != StatementError::Failed || work.access == WorkKind::Access::Read);
+    // A reply that doesn't fit the memory for callers says nothing about the member.
+    bool ownError = attempt.reply.error == StatementError::Failed && work.access != WorkKind::Access::Read;
+    bool failed = !done && !ownError && attempt.reply.error != StatementError::TooLarge;
     if (!notRun)
         pool->recordSpeed(work, now - sentAt, failed, now);
     // A refusal for want of capacity also carries the primary's position. An overloaded primary sends little else, so
@@ -665,7 +667,9 @@
 {
     std::set<std::string> tried;
     failure = this->refuse(StatementError::Busy, "no member can run this transaction now; try again later");
-    while (this->attempts < maxAttempts && Clock::now() < call.deadline) {
+    // All attempts share one wait.
+    TimePoint waitUntil = this->endOfPlaceWait(call);
+    while (this->attempts < maxAttempts && Clock::now() < waitUntil) {
         auto view = this->context->view->read();
         auto placement = this->transaction.readOnly
             ? this->context->groups->placeRead(*view, this->readRequirements(call), tried, Clock::now())
@@ -675,7 +679,6 @@
         ++this->attempts;
         this->memberId = placement->pool->target().id;
         tried.insert(this->memberId);
-        TimePoint waitUntil = this->endOfPlaceWait(call);
         auto link = co_await placement->pool->borrow(
             call.workspace, call.route.priority, waitUntil, placement->isReplaceable);
         if (!link) {
--- a/src/libsession/statement_forwarder.h
+++ b/src/libsession/statement_forwarder.h
@@ -63,7 +63,8 @@
     /// control thread.
     void receiveReply(const std::string& sender, const wire::StatementReply&);
 
-    /// Statements that a gateway has replied to, and those without a reply in time; may be called on any thread.
+    /// Statements that a gateway has replied to, and those that were not sent, were refused or had no reply in time;
+    /// may be called on any thread.
     std::uint64_t forwarded() const { return this->forwardedCount.load(); }
     std::uint64_t lost() const { return this->lostCount.load(); }
 
--- a/src/libsession/target_groups.h
+++ b/src/libsession/target_groups.h
@@ -114,7 +114,7 @@
     /// Highest position, by service, at which this instance acknowledged a commit.
     std::map<std::string, Position> acknowledged() const { return this->highestAcknowledged; }
     std::vector<MemberObservation> observations() const;
-    /// True if reads of the service go through gateways, because there are too few connections for all instances.
+    /// True if operations of the service go through gateways, because there are too few connections for all instances.
     bool usesGateways(const std::string& service) const { return this->gatewayServices.count(service) != 0; }
     /// The demand of this instance at the members of the services that it is a gateway of.
     std::vector<ServiceDemand> demands(TimePoint now) const;
--- a/src/libsession/target_pool.cpp
+++ b/src/libsession/target_pool.cpp
@@ -48,6 +48,8 @@
     {
     }
     asio::steady_timer timer;
+    // The wait has ended: the link or the failure is set.
+    bool ended = false;
     std::shared_ptr<TargetLink> link;
     // Returned to the statement if it gets no connection.
     LinkFailure failure { false, StatementError::Busy, "all connections to the member are in use" };
@@ -171,6 +173,7 @@
     }
     if (auto waiter = this->takeWaiter(workspace)) {
         waiter->failure = opening.error();
+        waiter->ended = true;
         waiter->timer.cancel();
     }
     this->recordClosed();
@@ -230,8 +233,9 @@
     this->waiters.add(waiter);
     this->recordNeed(Clock::now());
     waiter->timer.expires_after(this->waitBeforeOpening(deadline - Clock::now()));
-    auto [cancelled] = co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    if (!cancelled && Clock::now() < deadline) {
+    co_await waiter->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    // A cancellation may come after the timer has expired, and then has no effect on the wait.
+    if (!waiter->ended && Clock::now() < deadline) {
         // The lent connections may be bound to idle transactions and not come back soon.
         if (this->hasCapacity())
             this->startOpening(waiter->workspace);
@@ -343,6 +347,7 @@
     this->waiters.take(item, Clock::now());
     Waiter& waiter = static_cast<Waiter&>(*item);
     waiter.link = std::move(link);
+    waiter.ended = true;
     waiter.timer.cancel();
 }
 
--- a/src/libsession/target_pool_test.cpp
+++ b/src/libsession/target_pool_test.cpp
@@ -9,6 +9,7 @@
 #include "standin/run_to_end.h"
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
+#include <thread>
 
 using namespace catkinlock;
 
@@ -64,6 +65,28 @@
     });
 }
 
+// Guards against a statement that waits to its deadline with a connection in hand: on a busy thread the connection may
+// be returned when the first part of the wait has expired already, so that a cancellation comes too late.
+TEST(TargetPool, AConnectionThatIsReturnedAsAWaitExpiresIsUsedAtOnce)
+{
+    PoolFixture fixture;
+    auto pool = fixture.pool(1);
+    fixture.run([&]() -> asio::awaitable<void> {
+        auto first = co_await pool->borrow("tours", 1, farDeadline());
+        asio::steady_timer busy(fixture.context, Milliseconds(20));
+        busy.async_wait([](auto) { std::this_thread::sleep_for(Milliseconds(80)); });
+        asio::steady_timer returned(fixture.context, Milliseconds(30));
+        returned.async_wait([&](auto) { pool->release(*first); });
+        bool isLate = false;
+        asio::steady_timer late(fixture.context, Milliseconds(4000));
+        late.async_wait([&](boost::system::error_code error) { isLate = !error; });
+        auto second = co_await pool->borrow("tours", 1, farDeadline());
+        EXPECT_TRUE(second);
+        EXPECT_FALSE(isLate);
+        late.cancel();
+    });
+}
+
 // A member still counts the connections of instances that lost power, and refuses new ones until they time out. A
 // waiting statement must be served once the member accepts connections again.
 TEST(TargetPool, RetriesAMemberAtItsConnectionLimitWhileTheStatementWaits)
