--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -85,6 +85,13 @@
 
     explicit Instance(Options given)
         : options(std::move(given))
+    {
+        this->writeSettings();
+    }
+    ~Instance() { this->stop(); }
+
+    // Writes a settings file with ports that are free.
+    void writeSettings()
     {
         std::vector<int> ports = freePorts(4);
         this->front = ports[0];
@@ -100,7 +107,6 @@
              << "\"\n\n[fleet]\nsecret = \"change-this-secret-of-the-fleet\"\nrevocation_ms = 5000\napply_ms = 3000\n"
              << "member_drain_ms = 7000\n";
     }
-    ~Instance() { this->stop(); }
 
     // Runs `target/bin/catkinlock front --settings FILE`.
     void start()
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -34,6 +34,11 @@
         auto until = Clock::now() + std::chrono::seconds(25);
         for (auto& instance : this->instances) {
             while (!instance->isReady()) {
+                // Another process may have taken one of its ports meanwhile.
+                if (instance->hasEnded()) {
+                    instance->writeSettings();
+                    instance->start();
+                }
                 if (Clock::now() > until)
                     this->giveUp("the instances are not ready");
                 sleepMs(100);
--- a/review/standin-2/ports.h
+++ b/review/standin-2/ports.h
@@ -4,6 +4,7 @@
 
 #include "net.h"
 #include <random>
+#include <set>
 #include <vector>
 
 namespace review {
@@ -12,6 +13,7 @@
 inline std::vector<int> freePorts(std::size_t count)
 {
     static std::minstd_rand random(std::random_device {}());
+    static std::set<int> chosen;
     std::vector<int> ports;
     while (ports.size() < count) {
         int port = 12000 + static_cast<int>(random() % 20000);
@@ -19,6 +21,8 @@
         if (fd < 0)
             continue;
         close(fd);
+        if (!chosen.insert(port).second)
+            continue;
         ports.push_back(port);
     }
     return ports;
