Review: clients of the stand-in read at each instance at the same time

Cause: one thread read at all instances in turn and stalled at a silent primary, so that the instance that clients write through was now and then the first to find it lost.

Change: clients read at each instance in threads of their own.

--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -164,8 +164,10 @@
     void start()
     {
         this->threads.emplace_back([this] { this->writeAll(); });
-        this->threads.emplace_back([this] { this->readAll("booking", 0, 1); });
-        this->threads.emplace_back([this] { this->readAll("roster", 1500, 2); });
+        for (std::size_t i = 0; i < this->deployment.instances.size(); ++i) {
+            this->threads.emplace_back([this, i] { this->readAll("booking", 0, i); });
+            this->threads.emplace_back([this, i] { this->readAll("roster", 1500, i); });
+        }
     }
     void stop()
     {
@@ -173,7 +175,6 @@
         for (std::thread& thread : this->threads)
             thread.join();
     }
-    void pauseWrites(bool paused) { this->writesPaused = paused; }
     std::atomic<std::size_t> writesDone { 0 };
     std::atomic<std::size_t> writesFailed { 0 };
 
@@ -182,18 +183,18 @@
     {
         for (std::size_t i = 0; !this->stopped; ++i) {
             sleepMs(40);
-            if (this->writesPaused)
-                continue;
             bool done = this->deployment.write(
                 i % this->writers, "booking", "w" + std::to_string(i), "seat" + std::to_string(i % 20));
             ++(done ? this->writesDone : this->writesFailed);
         }
     }
-    void readAll(const std::string& database, int maxAgeMs, std::size_t first)
+    // Reads at one instance.
+    void readAll(const std::string& database, int maxAgeMs, std::size_t instance)
     {
         for (std::size_t i = 0; !this->stopped; ++i) {
-            sleepMs(40);
-            this->deployment.read((first + i) % 3, database, maxAgeMs, database.substr(0, 1) + std::to_string(i),
+            sleepMs(100);
+            this->deployment.read(instance, database, maxAgeMs,
+                database.substr(0, 1) + std::to_string(instance) + "-" + std::to_string(i),
                 "seat" + std::to_string(i % 20));
         }
     }
@@ -201,7 +202,6 @@
     Deployment& deployment;
     std::size_t writers;
     std::atomic<bool> stopped { false };
-    std::atomic<bool> writesPaused { false };
     std::vector<std::thread> threads;
 };
 
@@ -240,6 +240,38 @@
     deployment.end(stale != 0);
 }
 
+// A primary that is cut off from the store starts again under its id. No primary of the group was replaced before.
+void playUnseenRestart(Deployment& deployment, bool trouble)
+{
+    deployment.start();
+    Traffic traffic(deployment, zones.size());
+    traffic.start();
+    sleepMs(14000);
+    auto primary = deployment.group.primary();
+    deployment.record.say(std::to_string(traffic.writesDone)
+        + " writes committed so far; stale reads: " + std::to_string(deployment.group.staleReads()));
+    TimePoint cutAt = Clock::now();
+    if (trouble) {
+        deployment.group.setCutFromStore(primary, true);
+        sleepMs(500);
+        deployment.group.restartEmpty(primary);
+    }
+    std::this_thread::sleep_until(cutAt + std::chrono::seconds(5));
+    if (trouble)
+        deployment.group.setCutFromStore(primary, false);
+    sleepMs(10000);
+    traffic.stop();
+    deployment.record.say("writes committed: " + std::to_string(traffic.writesDone)
+        + ", failed: " + std::to_string(traffic.writesFailed));
+    std::size_t stale = deployment.group.staleReads();
+    deployment.record.say("stale reads: " + std::to_string(stale));
+    if (stale)
+        deployment.record.say("the last of them ran "
+            + number(std::chrono::duration<double>(deployment.group.lastStaleRead() - cutAt).count())
+            + " s after the cut");
+    deployment.end(stale != 0);
+}
+
 // A replica receives nothing for a while, and the primary crashes meanwhile, while the other replica, which is cut off
 // from the store, starts again under its id.
 void playReplicaRestart(Deployment& deployment, bool trouble)
@@ -288,6 +320,8 @@
     Deployment deployment(argv[2], argv[3], argv[4]);
     if (name == "primary-restart")
         playPrimaryRestart(deployment, trouble);
+    if (name == "unseen-restart")
+        playUnseenRestart(deployment, trouble);
     if (name == "replica-restart")
         playReplicaRestart(deployment, trouble);
     return 2;
